--- /dev/null
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -0,0 +1,375 @@
+//! Placement: job by job in order of urgency, task by task on one snapshot.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::{Job, Leader, Seen};
+use crate::catalog::Res;
+use crate::cluster::JobNo;
+use crate::gang::{permit, pre_enqueue, Gang, Permit};
+use crate::job::{JobSpec, Kind, Priority};
+use crate::placement;
+use crate::preemption::{choose, loss, Victim};
+use crate::records::CHUNK;
+use crate::time::Micros;
+
+/// A job waiting for room, in the order in which jobs are served.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiting {
+    pub no: JobNo,
+    pub guaranteed: bool,
+}
+
+impl Leader {
+    /// Jobs with tasks to place, most urgent first: production, then what lies within its team's
+    /// guarantee, then the rest, each by priority and age.
+    pub(super) fn waiting(&self) -> Vec<Waiting> {
+        let mut by_age: Vec<(&JobNo, &Job)> = self.jobs.iter().filter(|(_, j)| j.active()).collect();
+        by_age.sort_by_key(|(no, j)| (j.submitted, **no));
+        let mut claimed: HashMap<&str, Res> = HashMap::new();
+        let mut list = Vec::new();
+        for (no, j) in by_age {
+            let Some(team) = self.quota.team(&j.spec.team) else {
+                continue;
+            };
+            let left = u64::from(j.spec.tasks - j.done);
+            let sum = claimed.entry(&j.spec.team).or_default();
+            let whole = sum.plus(&j.spec.need.times(left));
+            let guaranteed = team.guarantees(&whole);
+            *sum = whole;
+            if j.idle.is_empty() {
+                continue;
+            }
+            let class = match (j.spec.priority, guaranteed) {
+                (Priority::Production, _) => 0u8,
+                (_, true) => 1,
+                _ => 2,
+            };
+            let due = j.spec.deadline.map_or(j.submitted, |d| j.submitted.plus(d));
+            let key = (class, std::cmp::Reverse(j.spec.priority), due, *no);
+            list.push((
+                key,
+                Waiting {
+                    no: *no,
+                    guaranteed,
+                },
+            ));
+        }
+        list.sort_by_key(|x| x.0);
+        list.into_iter().map(|x| x.1).collect()
+    }
+
+    pub(super) fn schedule(&mut self, now: Micros) {
+        for w in self.waiting() {
+            let Some(job) = self.jobs.get(&w.no) else {
+                continue;
+            };
+            if job.not_before > now {
+                continue;
+            }
+            match job.spec.kind {
+                Kind::Gang => self.schedule_gang(w, now),
+                _ => {
+                    let left = self.fill(w.no, now);
+                    if left > 0 {
+                        self.preempt(w, left, now);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Machines where this job's tasks could go now, best first, in `zone` if one is given.
+    fn candidates(&self, job: &Job, zone: Option<&str>, now: Micros) -> Vec<Arc<str>> {
+        let quiet = self.quiet();
+        let spec = &job.spec;
+        let mut list: Vec<(u64, &Arc<str>)> = self
+            .machines
+            .values()
+            .filter(|m| {
+                m.takes_tasks(now, quiet)
+                    && zone.is_none_or(|z| z == &*m.zone)
+                    && spec.need.fits(&m.free())
+                    && spec.allows(&m.kind.name, &m.zone, m.spot)
+                    && placement::suits(spec, m.kind.size.gpu > 0, &self.catalog)
+                    && job.avoid.get(&m.name).is_none_or(|until| *until <= now)
+            })
+            .map(|m| (placement::score(spec, m, now), &m.name))
+            .collect();
+        list.sort();
+        list.into_iter().map(|x| x.1.clone()).collect()
+    }
+
+    /// Whether one more task of the job may go to this zone, given where the others are.
+    fn zone_allows(job: &Job, zone: &str) -> bool {
+        if job.spec.one_zone && job.zones.keys().any(|z| &**z != zone) {
+            return false;
+        }
+        !job.spec.spread || job.zones.get(zone).copied().unwrap_or(0) < job.spec.per_zone()
+    }
+
+    /// Places as many idle tasks of an array or a service as go; says how many are left over that
+    /// the team's limit would allow.
+    fn fill(&mut self, no: JobNo, now: Micros) -> u64 {
+        let Some(job) = self.jobs.get(&no) else {
+            return 0;
+        };
+        let spec = job.spec.clone();
+        let mut more = self.quota.more(&spec.team, &spec.need).min(job.idle.len() as u64);
+        if more == 0 {
+            return 0;
+        }
+        for name in self.candidates(job, None, now) {
+            while more > 0 {
+                let (Some(job), Some(m)) = (self.jobs.get(&no), self.machines.get(&name)) else {
+                    break;
+                };
+                let Some(&task) = job.idle.first() else {
+                    return 0;
+                };
+                if !spec.need.fits(&m.free()) || !Self::zone_allows(job, &m.zone) {
+                    break;
+                }
+                let (session, attempt) = (m.session, job.next_attempt(task));
+                self.hold(no, task, name.clone(), session, attempt, false, now);
+                self.dirty.insert((no, task / CHUNK));
+                more -= 1;
+            }
+        }
+        more
+    }
+
+    /// One pass over a gang: gate, assumption, barrier.
+    fn schedule_gang(&mut self, w: Waiting, now: Micros) {
+        let Some(job) = self.jobs.get(&w.no) else {
+            return;
+        };
+        let n = job.spec.tasks;
+        // The job's record carries all of its tasks, so the group is known whole or not at all.
+        if !pre_enqueue(true, job.tasks.len() as u32, n) {
+            return;
+        }
+        let since = match job.gang {
+            Gang::Parked { until } if until <= now && job.placed == 0 => now,
+            Gang::Holding { since } => since,
+            _ => return,
+        };
+        let need = job.spec.need;
+        let idle = job.idle.len() as u64;
+        if self.quota.more(&job.spec.team, &need) < idle {
+            return self.park(w.no, now);
+        }
+        let zone = if job.spec.one_zone {
+            match job.zones.keys().next().cloned() {
+                Some(z) => Some(z),
+                None => self.best_zone(job, now),
+            }
+        } else {
+            None
+        };
+        if !job.spec.one_zone || zone.is_some() {
+            self.assume(w.no, zone.as_deref(), now);
+        }
+        let Some(job) = self.jobs.get_mut(&w.no) else {
+            return;
+        };
+        match permit(job.placed, n, since, now, self.cfg.policy.permit_wait) {
+            Permit::Allow => {
+                job.gang = Gang::Committing;
+                for c in 0..n.div_ceil(CHUNK) {
+                    self.dirty.insert((w.no, c));
+                }
+            }
+            Permit::Wait => {
+                if job.placed > 0 {
+                    job.gang = Gang::Holding { since };
+                }
+                let left = u64::from(n - job.placed);
+                self.preempt(w, left, now);
+            }
+            Permit::Drop => {
+                self.park(w.no, now);
+                if let Some(job) = self.jobs.get_mut(&w.no) {
+                    job.gang = Gang::Parked {
+                        until: now.plus(Micros::from_secs(1)),
+                    };
+                }
+            }
+        }
+    }
+
+    /// Drops the room of a gang that is not complete: nothing of it has gone on record.
+    fn park(&mut self, no: JobNo, now: Micros) {
+        let Some(job) = self.jobs.get_mut(&no) else {
+            return;
+        };
+        job.gang = Gang::Parked { until: now };
+        for task in 0..job.spec.tasks {
+            self.clear(no, task, now);
+        }
+    }
+
+    /// Assumes the gang's idle members, one by one, on the present snapshot.
+    fn assume(&mut self, no: JobNo, zone: Option<&str>, now: Micros) {
+        let Some(job) = self.jobs.get(&no) else {
+            return;
+        };
+        let need = job.spec.need;
+        let attempt = if job.placed > 0 {
+            job.tasks.iter().map(|t| t.attempt).max().unwrap_or(1)
+        } else {
+            job.next_attempt(0)
+        };
+        for name in self.candidates(job, zone, now) {
+            loop {
+                let (Some(job), Some(m)) = (self.jobs.get(&no), self.machines.get(&name)) else {
+                    break;
+                };
+                let Some(&task) = job.idle.first() else {
+                    return;
+                };
+                if !need.fits(&m.free()) || !Self::zone_allows(job, &m.zone) {
+                    break;
+                }
+                let session = m.session;
+                self.hold(no, task, name.clone(), session, attempt, false, now);
+            }
+        }
+    }
+
+    /// The zone that holds most members of a gang now.
+    fn best_zone(&self, job: &Job, now: Micros) -> Option<Arc<str>> {
+        let mut rooms: HashMap<Arc<str>, u64> = HashMap::new();
+        for name in self.candidates(job, None, now) {
+            if let Some(m) = self.machines.get(&name) {
+                *rooms.entry(m.zone.clone()).or_default() += job.spec.need.count_in(&m.free());
+            }
+        }
+        let all = u64::from(job.spec.tasks);
+        rooms
+            .into_iter()
+            .max_by_key(|(z, n)| ((*n).min(all), std::cmp::Reverse(z.clone())))
+            .map(|x| x.0)
+    }
+
+    /// Stops less urgent work for up to `left` tasks of this job, the cheapest loss first.
+    fn preempt(&mut self, w: Waiting, left: u64, now: Micros) {
+        let Some(job) = self.jobs.get(&w.no) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        if now.since(job.preempted_at) < Micros::from_secs(2) && job.preempted_at > Micros::ZERO {
+            return;
+        }
+        if spec.priority == Priority::Low && !w.guaranteed {
+            return;
+        }
+        let mut stops: Vec<(JobNo, u32)> = Vec::new();
+        let mut left = left;
+        let mut options = self.preemption_options(w, &spec, now);
+        options.sort_by_key(|o| o.0);
+        for (_, victims) in options {
+            if left == 0 {
+                break;
+            }
+            left -= 1;
+            stops.extend(victims);
+        }
+        if stops.is_empty() {
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&w.no) {
+            job.preempted_at = now;
+        }
+        for (no, task) in stops {
+            let Some(victim) = self.jobs.get(&no) else {
+                continue;
+            };
+            let grace = if victim.spec.saves() {
+                victim.spec.save.plus(Micros::from_secs(2))
+            } else {
+                Micros::ZERO
+            };
+            if victim.spec.kind == Kind::Gang {
+                self.stop_gang(no, grace, now);
+            } else {
+                self.stop(no, task, grace, now);
+            }
+        }
+    }
+
+    /// Per machine where room could be made for one task: what that loses, and whom to stop.
+    fn preemption_options(
+        &self,
+        w: Waiting,
+        spec: &JobSpec,
+        now: Micros,
+    ) -> Vec<(u64, Vec<(JobNo, u32)>)> {
+        let quiet = self.quiet();
+        let mut options = Vec::new();
+        let Some(job) = self.jobs.get(&w.no) else {
+            return options;
+        };
+        for m in self.machines.values() {
+            if !m.takes_tasks(now, quiet)
+                || !spec.allows(&m.kind.name, &m.zone, m.spot)
+                || !placement::suits(spec, m.kind.size.gpu > 0, &self.catalog)
+                || !spec.need.fits(&m.kind.size)
+                || !Self::zone_allows(job, &m.zone)
+                || job.avoid.get(&m.name).is_some_and(|until| *until > now)
+            {
+                continue;
+            }
+            let mut free = m.free();
+            let mut victims = Vec::new();
+            for &(no, task) in &m.holds {
+                let Some(other) = self.jobs.get(&no) else {
+                    continue;
+                };
+                let Some(place) = other.tasks[task as usize].place.as_ref() else {
+                    continue;
+                };
+                if place.stop.is_some() {
+                    free = free.plus(&other.spec.need);
+                    continue;
+                }
+                if !self.may_stop(w, spec, other) {
+                    continue;
+                }
+                let ran = match place.seen {
+                    Seen::Running => now.since(place.running_since.unwrap_or(place.since)),
+                    _ => now.since(place.since).times(0.2),
+                };
+                victims.push(Victim {
+                    id: (no, task),
+                    need: other.spec.need,
+                    loss: loss(other.spec.need.cpu, ran, other.spec.saves(), other.spec.save),
+                });
+            }
+            match choose(&spec.need, free, &mut victims) {
+                Some((cost, ids)) if !ids.is_empty() => options.push((cost, ids)),
+                // Room is being made here already: that covers one of the tasks.
+                Some((_, _)) => options.push((0, Vec::new())),
+                None => {}
+            }
+        }
+        options
+    }
+
+    /// The protocol's terms: higher priority over lower; a guarantee over what another team runs
+    /// beyond its own.
+    fn may_stop(&self, w: Waiting, spec: &JobSpec, other: &Job) -> bool {
+        if other.spec.priority < spec.priority {
+            return true;
+        }
+        if !w.guaranteed || other.spec.team == spec.team {
+            return false;
+        }
+        // Services are never cheap to move: users look at them.
+        other.spec.priority != Priority::Production
+            && self
+                .quota
+                .team(&other.spec.team)
+                .is_some_and(|t| !t.guarantees(&self.quota.used(&other.spec.team)))
+    }
+}
--- /dev/null
+++ b/crates/saltpitch-core/src/lib.rs
@@ -0,0 +1,18 @@
+//! The scheduler's core: events and the present time go in, effects come out.
+//!
+//! Nothing here opens a socket, reads a clock or draws a random number, so that a whole site can
+//! be played in a test from one seed.
+
+pub mod catalog;
+pub mod cluster;
+pub mod gang;
+pub mod job;
+pub mod leader;
+pub mod leadership;
+pub mod placement;
+pub mod preemption;
+pub mod quota;
+pub mod records;
+pub mod time;
+
+pub use time::Micros;
--- /dev/null
+++ b/crates/saltpitch/src/api.rs
@@ -0,0 +1,125 @@
+//! The HTTP interface: users, workers and health checks.
+
+use std::sync::Arc;
+
+use poem::http::{Method, StatusCode};
+use poem::{Endpoint, Request, Response};
+use serde_json::{json, Value};
+
+use crate::node::Node;
+use crate::peer::UserOp;
+use crate::wire::{users, MAX_BODY};
+
+/// Every path and method in one place.
+pub struct Api(pub Arc<Node>);
+
+impl Endpoint for Api {
+    type Output = Response;
+
+    async fn call(&self, req: Request) -> poem::Result<Response> {
+        Ok(self.route(req).await)
+    }
+}
+
+impl Api {
+    async fn route(&self, mut req: Request) -> Response {
+        let path = req.uri().path().to_owned();
+        let method = req.method().clone();
+        match path.as_str() {
+            "/up" => {
+                if method != Method::GET && method != Method::HEAD {
+                    return refuse(StatusCode::METHOD_NOT_ALLOWED, "use GET");
+                }
+                if self.0.is_up() {
+                    answer(StatusCode::OK, &json!({"status": "up"}))
+                } else {
+                    refuse(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+                }
+            }
+            "/v1/report" => {
+                if method != Method::POST {
+                    return refuse(StatusCode::METHOD_NOT_ALLOWED, "use POST");
+                }
+                match body(&mut req).await {
+                    Ok(b) => {
+                        let (status, body) = self.0.report(&b);
+                        raw(status, body)
+                    }
+                    Err(r) => r,
+                }
+            }
+            "/v2/runs" => {
+                if method != Method::POST {
+                    return refuse(StatusCode::METHOD_NOT_ALLOWED, "use POST");
+                }
+                match body(&mut req).await {
+                    Ok(b) => self.user(UserOp::Submit(b)).await,
+                    Err(r) => r,
+                }
+            }
+            _ => match path.strip_prefix("/v2/runs/") {
+                Some(rest) => self.one_job(rest, &method).await,
+                None => refuse(StatusCode::NOT_FOUND, "no such path"),
+            },
+        }
+    }
+
+    async fn one_job(&self, rest: &str, method: &Method) -> Response {
+        let (id, want, op): (&str, Method, fn(String) -> UserOp) = match rest.split_once('/') {
+            None => (rest, Method::GET, UserOp::Query),
+            Some((id, "abort")) => (id, Method::POST, UserOp::Cancel),
+            Some(_) => return refuse(StatusCode::NOT_FOUND, "no such path"),
+        };
+        if *method != want {
+            return refuse(StatusCode::METHOD_NOT_ALLOWED, &format!("use {want}"));
+        }
+        if !users::is_job_id(id) {
+            return refuse(StatusCode::NOT_FOUND, "no such job");
+        }
+        self.user(op(id.to_owned())).await
+    }
+
+    async fn user(&self, op: UserOp) -> Response {
+        match self.0.user_op(op, true).await {
+            Some((status, body)) => answer(
+                StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE),
+                &body,
+            ),
+            // Answered at once: the user is told when to come back.
+            None => refuse(StatusCode::SERVICE_UNAVAILABLE, "the state service is away"),
+        }
+    }
+}
+
+async fn body(req: &mut Request) -> Result<Vec<u8>, Response> {
+    let read = req.take_body().into_bytes_limit(MAX_BODY);
+    match tokio::time::timeout(std::time::Duration::from_secs(5), read).await {
+        Ok(Ok(b)) => Ok(b.to_vec()),
+        Ok(Err(_)) => Err(refuse(
+            StatusCode::BAD_REQUEST,
+            "the body is unreadable or longer than 64 KiB",
+        )),
+        Err(_) => Err(refuse(StatusCode::BAD_REQUEST, "the body took too long")),
+    }
+}
+
+fn raw(status: u16, body: Vec<u8>) -> Response {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    Response::builder()
+        .status(status)
+        .content_type("application/json")
+        .body(body)
+}
+
+fn answer(status: StatusCode, body: &Value) -> Response {
+    let mut r = raw(status.as_u16(), body.to_string().into_bytes());
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        r.headers_mut()
+            .insert("retry-after", poem::http::HeaderValue::from_static("1"));
+    }
+    r
+}
+
+fn refuse(status: StatusCode, reason: &str) -> Response {
+    answer(status, &json!({ "error": reason }))
+}
--- /dev/null
+++ b/crates/saltpitch/src/http.rs
@@ -0,0 +1,136 @@
+//! A small HTTP client: kept connections, a time limit for every call, and the difference between
+//! a request that was certainly not sent and one whose fate is unknown.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::{Method, Request};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Idle connections kept per address.
+const KEPT: usize = 4;
+/// Addresses with kept connections; beyond that, connections are used once.
+const MAX_ADDRS: usize = 300;
+const CONNECT: Duration = Duration::from_millis(1_000);
+/// The largest answer taken: a watch's answer has no limit of its own.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// The request was not sent and never will be.
+    NotSent,
+    /// No answer: the request may have been carried out, or may yet be.
+    Unknown,
+}
+
+pub struct Reply {
+    pub status: u16,
+    pub body: Bytes,
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+#[derive(Default)]
+pub struct Client {
+    idle: Mutex<HashMap<SocketAddr, Vec<Sender>>>,
+}
+
+impl Client {
+    fn take(&self, addr: SocketAddr) -> Option<Sender> {
+        let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
+        let list = idle.get_mut(&addr)?;
+        while let Some(s) = list.pop() {
+            if s.is_ready() {
+                return Some(s);
+            }
+        }
+        idle.remove(&addr);
+        None
+    }
+
+    fn put(&self, addr: SocketAddr, s: Sender) {
+        let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
+        if idle.len() >= MAX_ADDRS && !idle.contains_key(&addr) {
+            return;
+        }
+        let list = idle.entry(addr).or_default();
+        list.retain(|s| !s.is_closed());
+        if list.len() < KEPT {
+            list.push(s);
+        }
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Result<Sender, CallError> {
+        let tcp = timeout(CONNECT, TcpStream::connect(addr))
+            .await
+            .map_err(|_| CallError::NotSent)?
+            .map_err(|_| CallError::NotSent)?;
+        let _ = tcp.set_nodelay(true);
+        let (sender, conn) = handshake(TokioIo::new(tcp))
+            .await
+            .map_err(|_| CallError::NotSent)?;
+        tokio::spawn(async move {
+            let _ = conn.await;
+        });
+        Ok(sender)
+    }
+
+    /// One request and its whole answer within `limit`.
+    pub async fn call(
+        &self,
+        addr: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        limit: Duration,
+    ) -> Result<Reply, CallError> {
+        let mut sender = match self.take(addr) {
+            Some(s) => s,
+            None => self.connect(addr).await?,
+        };
+        let req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", addr.to_string())
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|_| CallError::NotSent)?;
+        let exchange = async {
+            let resp = sender.send_request(req).await.map_err(|e| {
+                if e.is_canceled() {
+                    CallError::NotSent
+                } else {
+                    CallError::Unknown
+                }
+            })?;
+            let status = resp.status().as_u16();
+            let closes = resp
+                .headers()
+                .get("connection")
+                .is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+            let body = Limited::new(resp.into_body(), MAX_ANSWER)
+                .collect()
+                .await
+                .map_err(|_| CallError::Unknown)?
+                .to_bytes();
+            Ok((Reply { status, body }, closes))
+        };
+        match timeout(limit, exchange).await {
+            Ok(Ok((reply, closes))) => {
+                if !closes {
+                    self.put(addr, sender);
+                }
+                Ok(reply)
+            }
+            Ok(Err(e)) => Err(e),
+            Err(_) => Err(CallError::Unknown),
+        }
+    }
+}
--- /dev/null
+++ b/crates/saltpitch/src/settings.rs
@@ -0,0 +1,193 @@
+//! The platform's settings file: read once at start, checked field by field.
+
+use std::net::SocketAddr;
+
+use anyhow::{bail, Context, Result};
+use saltpitch_core::leader::{Config, Policy};
+use saltpitch_core::quota::TeamLimits;
+use saltpitch_core::Micros;
+use serde::de::DeserializeOwned;
+use serde::Deserialize;
+use serde_json::Value;
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub node: String,
+    pub zone: String,
+    pub api: SocketAddr,
+    pub peer_bind: SocketAddr,
+    pub peers: Vec<Peer>,
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+    pub zones: Vec<String>,
+    pub size: usize,
+    pub teams: Vec<TeamLimits>,
+    pub workers: Workers,
+    pub store: StoreLimits,
+    pub cloud_rps: f64,
+    pub list_lag: Micros,
+    pub sockets: usize,
+    pub clock_error: Micros,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Peer {
+    pub node: String,
+    #[serde(default, rename = "location")]
+    pub zone: String,
+    pub addr: SocketAddr,
+}
+
+#[derive(Clone, Debug)]
+pub struct Workers {
+    pub report: Micros,
+    pub lease: Micros,
+    pub gang_wait: Micros,
+    pub gang_peer: Micros,
+    pub cancel: Micros,
+}
+
+#[derive(Clone, Debug)]
+pub struct StoreLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+}
+
+/// Looks up fields by their path, so that every complaint names one.
+struct Fields<'a>(&'a Value);
+
+impl Fields<'_> {
+    fn value(&self, path: &str) -> Result<&Value> {
+        let mut v = self.0;
+        for part in path.split('.') {
+            v = v
+                .get(part)
+                .with_context(|| format!("settings: field `{path}` is missing"))?;
+        }
+        Ok(v)
+    }
+
+    fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        T::deserialize(self.value(path)?)
+            .map_err(|e| anyhow::anyhow!("settings: field `{path}` is invalid: {e}"))
+    }
+
+    fn number(&self, path: &str, min: f64, max: f64) -> Result<f64> {
+        let n: f64 = self.get(path)?;
+        if !n.is_finite() || n < min || n > max {
+            bail!("settings: field `{path}` must lie between {min} and {max}, not {n}");
+        }
+        Ok(n)
+    }
+
+    fn span(&self, path: &str) -> Result<Micros> {
+        Ok(Micros::from_secs_f64(self.number(path, 0.001, 1e6)?))
+    }
+
+    fn text(&self, path: &str) -> Result<String> {
+        let s: String = self.get(path)?;
+        if s.is_empty() || s.len() > 200 {
+            bail!("settings: field `{path}` must have 1 to 200 characters");
+        }
+        Ok(s)
+    }
+}
+
+impl Settings {
+    pub fn load(path: &std::path::Path) -> Result<Settings> {
+        let text = std::fs::read_to_string(path)
+            .with_context(|| format!("settings: cannot read {}", path.display()))?;
+        Settings::parse(&text)
+    }
+
+    pub fn parse(text: &str) -> Result<Settings> {
+        let root: Value = serde_json::from_str(text).context("settings: not valid JSON")?;
+        if !root.is_object() {
+            bail!("settings: not a JSON object");
+        }
+        let f = Fields(&root);
+        let s = Settings {
+            node: f.text("node")?,
+            zone: f.text("location")?,
+            api: f.get("api_addr")?,
+            peer_bind: f.get("peer_bind")?,
+            peers: f.get("seeds")?,
+            cloud: f.get("external.cloud")?,
+            state: f.get("external.state")?,
+            zones: f.get("cluster.zones")?,
+            size: f.number("cluster.size", 1.0, 100.0)? as usize,
+            teams: teams(&f)?,
+            workers: Workers {
+                report: f.span("cluster.workers.report_s")?,
+                lease: f.span("cluster.workers.lease_s")?,
+                gang_wait: f.span("cluster.workers.gang_wait_s")?,
+                gang_peer: f.span("cluster.workers.gang_peer_s")?,
+                cancel: f.span("cluster.workers.cancel_s")?,
+            },
+            store: StoreLimits {
+                rps: f.number("cluster.state.rps", 1.0, 1e6)?,
+                write_rps: f.number("cluster.state.write_rps", 1.0, 1e6)?,
+                value_bytes: (f.number("cluster.state.value_kb", 4.0, 1e5)? * 1024.0) as usize,
+                txn_ops: f.number("cluster.state.txn_ops", 2.0, 1e4)? as usize,
+            },
+            cloud_rps: f.number("cluster.cloud.rps", 0.1, 1e5)?,
+            list_lag: f.span("cluster.cloud.list_lag_s")?,
+            sockets: f.number("cluster.limits.sockets", 32.0, 1e7)? as usize,
+            clock_error: Micros::from_secs_f64(
+                f.number("cluster.clock_error_ms", 0.0, 1e6)? / 1e3,
+            ),
+        };
+        if s.workers.cancel <= s.workers.lease {
+            bail!("settings: field `cluster.workers.cancel_s` must exceed `lease_s`");
+        }
+        if s.peers.iter().any(|p| p.node == s.node) {
+            bail!("settings: field `seeds` names this node itself");
+        }
+        Ok(s)
+    }
+
+    /// What the core needs of the settings.
+    pub fn core(&self) -> Config {
+        Config {
+            report: self.workers.report,
+            lease: self.workers.lease,
+            gang_wait: self.workers.gang_wait,
+            gang_peer: self.workers.gang_peer,
+            cancel: self.workers.cancel,
+            list_lag: self.list_lag,
+            txn_ops: self.store.txn_ops,
+            txn_bytes: 56 * 1024,
+            teams: self.teams.clone(),
+            policy: Policy::default(),
+        }
+    }
+}
+
+fn teams(f: &Fields) -> Result<Vec<TeamLimits>> {
+    let list: Vec<Value> = f.get("cluster.teams")?;
+    let mut teams = Vec::new();
+    for (i, t) in list.iter().enumerate() {
+        let t = Fields(t);
+        let amount = |name: &str| -> Result<u64> {
+            if t.0.get(name).is_none_or(Value::is_null) {
+                return Ok(0);
+            }
+            let n = t
+                .number(name, 0.0, 1e9)
+                .with_context(|| format!("settings: field `cluster.teams[{i}]`"))?;
+            Ok((n * 1e3).round() as u64)
+        };
+        teams.push(TeamLimits {
+            name: t
+                .text("name")
+                .with_context(|| format!("settings: field `cluster.teams[{i}]`"))?,
+            cpu: amount("cpus")?,
+            gpu: amount("gpus")?,
+            cpu_max: amount("cpus_max")?,
+            gpu_max: amount("gpus_max")?,
+        });
+    }
+    Ok(teams)
+}
--- /dev/null
+++ b/crates/saltpitch/src/store.rs
@@ -0,0 +1,233 @@
+//! The state service, as this project uses it.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hyper::Method;
+use saltpitch_core::leader::{Outcome, Write};
+use saltpitch_core::records::PREFIX;
+use saltpitch_core::Micros;
+
+use crate::budget::Budget;
+use crate::clock::Clock;
+use crate::http::{CallError, Client, Reply};
+use crate::wire::store as wire;
+
+/// What reading the changes came to.
+pub enum News {
+    Items(Vec<wire::Item>, u64),
+    /// The asked-for revision is too old: everything has to be read again.
+    TooOld,
+    Failed,
+}
+
+pub struct Store {
+    http: Arc<Client>,
+    addr: SocketAddr,
+    clock: Clock,
+    budgets: Mutex<(Budget, Budget)>,
+    rps: f64,
+    write_rps: f64,
+    size: usize,
+    /// When it answered last, for better or worse.
+    ok_at: Mutex<Option<Micros>>,
+    failed_at: Mutex<Option<Micros>>,
+}
+
+impl Store {
+    pub fn new(
+        http: Arc<Client>,
+        addr: SocketAddr,
+        clock: Clock,
+        rps: f64,
+        write_rps: f64,
+        size: usize,
+    ) -> Store {
+        let s = Store {
+            http,
+            addr,
+            clock,
+            budgets: Mutex::new((Budget::new(rps), Budget::new(write_rps))),
+            rps,
+            write_rps,
+            size: size.max(1),
+            ok_at: Mutex::new(None),
+            failed_at: Mutex::new(None),
+        };
+        s.set_leading(false);
+        s
+    }
+
+    /// The leader may use half of the shared rates, the others the rest between them.
+    pub fn set_leading(&self, leads: bool) {
+        let share = match (leads, self.size) {
+            (_, 1) => 0.9,
+            (true, _) => 0.5,
+            (false, n) => 0.45 / (n - 1) as f64,
+        };
+        let mut b = self.budgets.lock().unwrap_or_else(|e| e.into_inner());
+        b.0.set_rate(self.rps * share);
+        b.1.set_rate(self.write_rps * share);
+    }
+
+    /// How long to leave between two requests of a kind that may use `part` of this node's share.
+    pub fn pace(&self, part: f64) -> Duration {
+        let each = self.rps * part / self.size as f64;
+        Duration::from_secs_f64((1.0 / each.max(0.5)).clamp(0.02, 2.0))
+    }
+
+    fn may(&self, requests: f64, writes: f64) -> bool {
+        let now = self.clock.now();
+        let mut b = self.budgets.lock().unwrap_or_else(|e| e.into_inner());
+        b.0.take(requests, now) && (writes == 0.0 || b.1.take(writes, now))
+    }
+
+    fn note(&self, ok: bool) {
+        let slot = if ok { &self.ok_at } else { &self.failed_at };
+        *slot.lock().unwrap_or_else(|e| e.into_inner()) = Some(self.clock.now());
+    }
+
+    /// Whether it served this node at its last word, which is not older than `within`.
+    pub fn is_up(&self, within: Micros) -> bool {
+        let ok = *self.ok_at.lock().unwrap_or_else(|e| e.into_inner());
+        let bad = *self.failed_at.lock().unwrap_or_else(|e| e.into_inner());
+        ok.is_some_and(|at| self.clock.now().since(at) < within) && ok >= bad
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        limit: Duration,
+    ) -> Result<Reply, CallError> {
+        let r = self.http.call(self.addr, method, path, body, limit).await;
+        match &r {
+            Ok(r) => self.note(r.status != 503),
+            Err(_) => self.note(false),
+        }
+        r
+    }
+
+    /// All of our records, and the revision from which to follow their changes.
+    pub async fn list(&self) -> Option<(Vec<wire::Item>, u64)> {
+        let mut all = Vec::new();
+        let mut first = None;
+        let mut after = String::new();
+        loop {
+            let path = if after.is_empty() {
+                format!("/store?starts={PREFIX}&page=1000")
+            } else {
+                format!("/store?starts={PREFIX}&from={after}&page=1000")
+            };
+            let r = self
+                .call(Method::GET, &path, Vec::new(), Duration::from_secs(3))
+                .await
+                .ok()?;
+            if r.status != 200 {
+                return None;
+            }
+            let (items, more, rev) = wire::page(&r.body)
+                .map_err(|e| tracing::error!("store: unreadable page: {e}"))
+                .ok()?;
+            first.get_or_insert(rev);
+            if let Some(last) = items.last() {
+                after.clone_from(&last.key);
+            }
+            let empty = items.is_empty();
+            all.extend(items);
+            if !more || empty {
+                return Some((all, first.unwrap_or(rev)));
+            }
+        }
+    }
+
+    /// Changes after `from`; waits up to `wait` for one.
+    pub async fn news(&self, from: u64, wait: Duration) -> News {
+        if wait.is_zero() && !self.may(1.0, 0.0) {
+            return News::Failed;
+        }
+        let path = format!(
+            "/watch?starts={PREFIX}&from={from}&wait_ms={}",
+            wait.as_millis()
+        );
+        let limit = wait + Duration::from_millis(1_500);
+        match self.call(Method::GET, &path, Vec::new(), limit).await {
+            Ok(r) if r.status == 200 => match wire::news(&r.body) {
+                Ok((items, rev)) => News::Items(items, rev),
+                Err(e) => {
+                    tracing::error!("store: unreadable changes: {e}");
+                    News::Failed
+                }
+            },
+            Ok(r) if r.status == 410 => News::TooOld,
+            _ => News::Failed,
+        }
+    }
+
+    pub async fn txn(
+        &self,
+        when: &[(String, u64)],
+        writes: &[Write],
+        hold: Option<(u64, &str)>,
+        limit: Duration,
+    ) -> Outcome {
+        if !self.may(1.0, writes.len() as f64) {
+            return Outcome::Refused;
+        }
+        let body = wire::transaction(when, writes, hold);
+        match self.call(Method::POST, "/txn", body, limit).await {
+            Ok(r) if r.status == 200 => {
+                wire::txn(&r.body).map_or(Outcome::Unknown, |t| Outcome::Done(t.0))
+            }
+            Ok(r) if r.status == 409 => {
+                wire::txn(&r.body).map_or(Outcome::Unknown, |t| Outcome::Failed(t.1))
+            }
+            Ok(r) if matches!(r.status, 429 | 503) => Outcome::Refused,
+            Ok(r) => {
+                tracing::error!(
+                    "store: transaction answered {}: {}",
+                    r.status,
+                    String::from_utf8_lossy(&r.body)
+                );
+                Outcome::Unknown
+            }
+            Err(CallError::NotSent) => Outcome::Refused,
+            Err(CallError::Unknown) => Outcome::Unknown,
+        }
+    }
+
+    pub async fn open_hold(&self, ttl: Micros) -> Option<u64> {
+        let r = self
+            .call(
+                Method::POST,
+                "/holds",
+                wire::open_hold(ttl.0 / 1_000),
+                Duration::from_secs(1),
+            )
+            .await
+            .ok()?;
+        (r.status == 200).then(|| wire::hold(&r.body).ok()).flatten()
+    }
+
+    /// Renews a hold: Some(true) renewed, Some(false) it is gone, None not known.
+    pub async fn touch(&self, hold: u64) -> Option<bool> {
+        let path = format!("/holds/{hold}/touch");
+        match self
+            .call(Method::POST, &path, Vec::new(), Duration::from_millis(1_000))
+            .await
+        {
+            Ok(r) if r.status == 200 => Some(true),
+            Ok(r) if r.status == 404 => Some(false),
+            _ => None,
+        }
+    }
+
+    pub async fn drop_hold(&self, hold: u64) {
+        let path = format!("/holds/{hold}");
+        let _ = self
+            .call(Method::DELETE, &path, Vec::new(), Duration::from_secs(1))
+            .await;
+    }
+}
--- /dev/null
+++ b/crates/saltpitch/src/wire/users.rs
@@ -0,0 +1,185 @@
+//! What users send and are told.
+
+use saltpitch_core::catalog::Res;
+use saltpitch_core::job::{JobSpec, JobState, Kind, Priority, MAX_TASKS};
+use serde_json::{json, Map, Value};
+
+use super::{milli, span};
+
+/// Whether `id` has the form that job ids always have.
+pub fn is_job_id(id: &str) -> bool {
+    id.strip_prefix("job-").is_some_and(|d| {
+        (1..=40).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit())
+    })
+}
+
+/// The id in a submission, wherever the rest of it stands.
+pub fn id_of(body: &Value) -> Result<&str, String> {
+    let obj = body.as_object().ok_or("the body is not a JSON object")?;
+    let id = text(obj, "ref")?;
+    if is_job_id(id) {
+        Ok(id)
+    } else {
+        Err("field `ref` is not a job id".to_owned())
+    }
+}
+
+/// Reads and checks a submission; the reason names the field.
+pub fn submission(body: &Value) -> Result<JobSpec, String> {
+    let o = body.as_object().ok_or("the body is not a JSON object")?;
+    let kind = match text(o, "rig")? {
+        "sweep" => Kind::Array,
+        "ensemble" => Kind::Gang,
+        "service" => Kind::Service,
+        other => return Err(format!("field `rig` has no value {other:?}")),
+    };
+    let priority = match text(o, "precedence")? {
+        "production" => Priority::Production,
+        "urgent" => Priority::High,
+        "normal" => Priority::Normal,
+        "best_effort" => Priority::Low,
+        other => return Err(format!("field `precedence` has no value {other:?}")),
+    };
+    let tasks = o
+        .get("legs")
+        .and_then(Value::as_u64)
+        .filter(|n| (1..=u64::from(MAX_TASKS)).contains(n))
+        .ok_or("field `legs` must be an integer from 1 to 100000")?;
+    let need = Res {
+        cpu: amount(o, "cpus")?,
+        gpu: amount(o, "accelerators")?,
+        mem: amount(o, "mem_gb")?,
+    };
+    let types = match o.get("hulls_list") {
+        None | Some(Value::Null) => None,
+        Some(Value::Array(list)) if list.len() <= 100 => Some(
+            list.iter()
+                .map(|t| t.as_str().map(str::to_owned))
+                .collect::<Option<Vec<_>>>()
+                .ok_or("field `hulls_list` must hold names")?,
+        ),
+        Some(_) => return Err("field `hulls_list` must be a list or null".to_owned()),
+    };
+    let zone = match o.get("basin") {
+        None | Some(Value::Null) => None,
+        Some(Value::String(s)) => Some(s.clone()),
+        Some(_) => return Err("field `basin` must be a string or null".to_owned()),
+    };
+    let deadline = match o.get("arrive_by_s") {
+        None | Some(Value::Null) => None,
+        Some(_) => Some(seconds(o, "arrive_by_s")?),
+    };
+    Ok(JobSpec {
+        class: text(o, "berth")?.to_owned(),
+        team: text(o, "crew")?.to_owned(),
+        kind,
+        priority,
+        tasks: tasks as u32,
+        need,
+        types,
+        zone,
+        one_zone: flag(o, "together")?,
+        spread: flag(o, "spread")?,
+        spot: flag(o, "lay_by")?,
+        image: text(o, "hull")?.to_owned(),
+        image_mb: amount(o, "image_gb")?,
+        estimate: seconds(o, "passage_s")?,
+        checkpoint: seconds(o, "moor_every_s")?,
+        save: seconds(o, "tie_up_s")?,
+        deadline,
+    })
+}
+
+fn text<'a>(o: &'a Map<String, Value>, name: &str) -> Result<&'a str, String> {
+    o.get(name)
+        .and_then(Value::as_str)
+        .filter(|s| !s.is_empty() && s.len() <= 200)
+        .ok_or_else(|| format!("field `{name}` must be a string of 1 to 200 bytes"))
+}
+
+fn flag(o: &Map<String, Value>, name: &str) -> Result<bool, String> {
+    match o.get(name) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(b)) => Ok(*b),
+        Some(_) => Err(format!("field `{name}` must be true or false")),
+    }
+}
+
+fn number(o: &Map<String, Value>, name: &str) -> Result<f64, String> {
+    o.get(name)
+        .and_then(Value::as_f64)
+        .ok_or_else(|| format!("field `{name}` must be a number"))
+}
+
+fn amount(o: &Map<String, Value>, name: &str) -> Result<u64, String> {
+    milli(number(o, name)?).ok_or_else(|| format!("field `{name}` is out of range"))
+}
+
+fn seconds(o: &Map<String, Value>, name: &str) -> Result<saltpitch_core::Micros, String> {
+    span(number(o, name)?).ok_or_else(|| format!("field `{name}` is out of range"))
+}
+
+/// A job's state as users read it.
+pub fn status_word(state: JobState, running: u64) -> &'static str {
+    match state {
+        JobState::Done => "done",
+        JobState::Cancelled => "withdrawn",
+        JobState::Active if running > 0 => "running",
+        JobState::Active => "pending",
+    }
+}
+
+pub fn short(id: &str, word: &str) -> Value {
+    json!({"ref": id, "status": word})
+}
+
+pub fn full(id: &str, word: &str, done: u64, running: u64) -> Value {
+    json!({"ref": id, "status": word, "done": done, "running": running})
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn good() -> Value {
+        json!({"ref":"job-000412","berth":"train","crew":"vision","rig":"ensemble",
+            "precedence":"urgent","legs":16,"cpus":8.0,"accelerators":1.0,"mem_gb":64.0,
+            "hull":"img-07","image_gb":6.2,"hulls_list":["g8"],"basin":null,"together":true,
+            "spread":false,"lay_by":true,"passage_s":240.0,"moor_every_s":30.0,"tie_up_s":4.0,
+            "arrive_by_s":900.0})
+    }
+
+    #[test]
+    fn bad_submissions_are_refused_by_field() {
+        assert!(submission(&good()).is_ok());
+        for (field, bad) in [
+            ("legs", json!(0)),
+            ("legs", json!(1.5)),
+            ("legs", json!(100_001)),
+            ("cpus", json!(-1)),
+            ("cpus", json!("8")),
+            ("mem_gb", json!(1e300)),
+            ("rig", json!("cluster")),
+            ("precedence", json!("highest")),
+            ("passage_s", json!(null)),
+            ("together", json!(1)),
+            ("hulls_list", json!([1])),
+            ("basin", json!(7)),
+            ("arrive_by_s", json!(-3)),
+            ("crew", json!("")),
+        ] {
+            let mut body = good();
+            body[field] = bad;
+            let reason = submission(&body).expect_err(field);
+            assert!(reason.contains(field), "{reason}");
+        }
+        for field in ["berth", "crew", "rig", "legs", "cpus", "hull", "tie_up_s"] {
+            let mut body = good();
+            body.as_object_mut().expect("object").remove(field);
+            assert!(submission(&body).is_err(), "{field}");
+        }
+        assert!(id_of(&json!([1])).is_err());
+        assert!(id_of(&json!({"ref":"task-1"})).is_err());
+        assert_eq!(id_of(&good()).ok(), Some("job-000412"));
+    }
+}
