--- a/crates/saltpitch-core/src/leader/evidence.rs
+++ b/crates/saltpitch-core/src/leader/evidence.rs
@@ -53,12 +53,7 @@
 
 impl Leader {
     /// A worker's report. The answer is the orders to send back with a 200.
-    pub fn report(
-        &mut self,
-        r: Report,
-        gone: bool,
-        now: Micros,
-    ) -> Result<Vec<Order>, Ignored> {
+    pub fn report(&mut self, r: Report, gone: bool, now: Micros) -> Result<Vec<Order>, Ignored> {
         if gone || self.gone_machines.contains(r.machine.as_str()) {
             return Err(Ignored::Returned);
         }
@@ -187,9 +182,9 @@
                 lost.push((no, task, None));
                 continue;
             }
-            let at = tasks.iter().position(|t| {
-                t.task == task && t.attempt == place.attempt && t.job == *job.id
-            });
+            let at = tasks
+                .iter()
+                .position(|t| t.task == task && t.attempt == place.attempt && t.job == *job.id);
             let Some(at) = at else {
                 let m = &self.machines[name];
                 let fenced = m.fenced_at.is_some() && m.doubt.is_none() && !m.orders_out;
@@ -559,7 +554,9 @@
             let quiet = now.since(m.last_heard.max(self.took_office));
             let heard = m.phase == Phase::Up && now.since(m.last_heard) < report.times(2.5);
             heard_any += usize::from(heard);
-            doubtful |= heard && m.doubt.is_some_and(|d| now.since(d.1) > Micros::from_secs(6));
+            doubtful |= heard
+                && m.doubt
+                    .is_some_and(|d| now.since(d.1) > Micros::from_secs(6));
             let asks = m.phase == Phase::Up || (m.phase == Phase::Unheard && !m.holds.is_empty());
             let unfenced = m.phase == Phase::Unheard && m.recorded;
             if (asks || unfenced)
@@ -614,9 +611,7 @@
             let heard_there = self
                 .machines
                 .values()
-                .filter(|o| {
-                    o.zone == m.zone && o.is_up() && now.since(o.last_heard) < self.quiet()
-                })
+                .filter(|o| o.zone == m.zone && o.is_up() && now.since(o.last_heard) < self.quiet())
                 .count();
             let silent_alike = silent
                 .iter()
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -86,10 +86,7 @@
         orders: Vec<Order>,
     },
     /// Ask a machine for its report; what it says goes to [`Leader::heard_directly`].
-    Probe {
-        machine: Arc<str>,
-        addr: String,
-    },
+    Probe { machine: Arc<str>, addr: String },
     /// Answer with [`Leader::rented`].
     Rent {
         request: String,
@@ -99,9 +96,7 @@
         count: u32,
     },
     /// Answer with [`Leader::returned`].
-    Return {
-        names: Vec<Arc<str>>,
-    },
+    Return { names: Vec<Arc<str>> },
     /// Take the next term, to end doubts about starts that may still be under way.
     RaiseTerm,
 }
@@ -644,10 +639,10 @@
     /// How many machines are up as far as known, and how many of them were heard lately.
     pub fn heard(&self, now: Micros) -> (usize, usize) {
         let quiet = self.cfg.report.times(2.5);
-        let up = self
-            .machines
-            .values()
-            .filter(|m| m.phase == Phase::Up || (m.phase == Phase::Unheard && m.recorded && m.up_since > Micros::ZERO));
+        let up = self.machines.values().filter(|m| {
+            m.phase == Phase::Up
+                || (m.phase == Phase::Unheard && m.recorded && m.up_since > Micros::ZERO)
+        });
         up.fold((0, 0), |(k, h), m| {
             (k + 1, h + usize::from(now.since(m.last_heard) < quiet))
         })
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -24,7 +24,8 @@
     /// Jobs with tasks to place, most urgent first: production, then what lies within its team's
     /// guarantee, then the rest, each by priority and age.
     pub(super) fn waiting(&self) -> Vec<Waiting> {
-        let mut by_age: Vec<(&JobNo, &Job)> = self.jobs.iter().filter(|(_, j)| j.active()).collect();
+        let mut by_age: Vec<(&JobNo, &Job)> =
+            self.jobs.iter().filter(|(_, j)| j.active()).collect();
         by_age.sort_by_key(|(no, j)| (j.submitted, **no));
         let mut claimed: HashMap<&str, Res> = HashMap::new();
         let mut list = Vec::new();
@@ -115,7 +116,10 @@
             return 0;
         };
         let spec = job.spec.clone();
-        let mut more = self.quota.more(&spec.team, &spec.need).min(job.idle.len() as u64);
+        let mut more = self
+            .quota
+            .more(&spec.team, &spec.need)
+            .min(job.idle.len() as u64);
         if more == 0 {
             return 0;
         }
@@ -343,7 +347,12 @@
                 victims.push(Victim {
                     id: (no, task),
                     need: other.spec.need,
-                    loss: loss(other.spec.need.cpu, ran, other.spec.saves(), other.spec.save),
+                    loss: loss(
+                        other.spec.need.cpu,
+                        ran,
+                        other.spec.saves(),
+                        other.spec.save,
+                    ),
                 });
             }
             match choose(&spec.need, free, &mut victims) {
--- a/crates/saltpitch/src/cloud.rs
+++ b/crates/saltpitch/src/cloud.rs
@@ -116,7 +116,9 @@
                 Ok(names) => Rented::Machines(names),
                 Err(_) => Rented::Unknown,
             },
-            Ok(r) if r.status == 503 && String::from_utf8_lossy(&r.body).contains("no capacity") => {
+            Ok(r)
+                if r.status == 503 && String::from_utf8_lossy(&r.body).contains("no capacity") =>
+            {
                 Rented::NoCapacity
             }
             Ok(r) => {
--- a/crates/saltpitch/src/lead.rs
+++ b/crates/saltpitch/src/lead.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use hyper::Method;
+use rand::Rng;
 use saltpitch_core::cluster::Order;
 use saltpitch_core::leader::{Effect, Leader, Ordered, Outcome, Write};
 use saltpitch_core::leadership::{answer_bound, election_delay, Hearing};
 use saltpitch_core::records::{self, LeaderRecord, TermRecord, LEADER_KEY, TERM_KEY};
 use saltpitch_core::Micros;
-use rand::Rng;
 
 use crate::http::CallError;
 use crate::node::{Inner, Node};
@@ -255,7 +255,12 @@
     };
     let done = node
         .store
-        .txn(&when, &writes, Some((hold, LEADER_KEY)), Duration::from_secs(1))
+        .txn(
+            &when,
+            &writes,
+            Some((hold, LEADER_KEY)),
+            Duration::from_secs(1),
+        )
         .await;
     let Outcome::Done(rev) = done else {
         node.store.drop_hold(hold).await;
@@ -500,15 +505,19 @@
 async fn raise_term(node: &Arc<Node>, epoch: u64) {
     let plan = {
         let i = node.lock();
-        i.office.leader.as_ref().filter(|_| i.office.epoch == epoch).map(|l| {
-            let record = TermRecord {
-                term: l.term + 1,
-                node: node.settings.node.clone(),
-                life: i.life,
-                quiet: i.view.term.1.quiet,
-            };
-            (l.term + 1, l.term_rev(), record)
-        })
+        i.office
+            .leader
+            .as_ref()
+            .filter(|_| i.office.epoch == epoch)
+            .map(|l| {
+                let record = TermRecord {
+                    term: l.term + 1,
+                    node: node.settings.node.clone(),
+                    life: i.life,
+                    quiet: i.view.term.1.quiet,
+                };
+                (l.term + 1, l.term_rev(), record)
+            })
     };
     let Some((term, rev, record)) = plan else {
         return;
--- a/crates/saltpitch/src/main.rs
+++ b/crates/saltpitch/src/main.rs
@@ -18,7 +18,11 @@
 use clap::{Parser, Subcommand};
 
 #[derive(Parser)]
-#[command(name = "saltpitch", version, about = "A cluster scheduler for small sites")]
+#[command(
+    name = "saltpitch",
+    version,
+    about = "A cluster scheduler for small sites"
+)]
 struct Args {
     #[command(subcommand)]
     command: Command,
--- a/crates/saltpitch/src/node.rs
+++ b/crates/saltpitch/src/node.rs
@@ -200,7 +200,11 @@
                 let now = self.now();
                 let life = i.view.life(&name);
                 let office = &mut i.office;
-                if office.previous.as_ref().is_some_and(|p| p.0 == name && p.1 < life) {
+                if office
+                    .previous
+                    .as_ref()
+                    .is_some_and(|p| p.0 == name && p.1 < life)
+                {
                     office.previous = None;
                     let silent = now.max(office.elders_silent_at);
                     if let Some(l) = office.leader.as_mut() {
@@ -302,9 +306,9 @@
                 .peers
                 .iter()
                 .filter(|p| {
-                    i.peers.get(&p.node).is_some_and(|x| {
-                        x.hello.store_up && now.since(x.at) < Micros::from_secs(3)
-                    })
+                    i.peers
+                        .get(&p.node)
+                        .is_some_and(|x| x.hello.store_up && now.since(x.at) < Micros::from_secs(3))
                 })
                 .map(|p| p.addr)
                 .collect()
@@ -372,7 +376,11 @@
             };
             // Cancelled and done are both written on this condition: one of them wins and stays.
             let limit = Duration::from_millis(1_500);
-            match self.store.txn(&[(key, entry.rev)], &[write], None, limit).await {
+            match self
+                .store
+                .txn(&[(key, entry.rev)], &[write], None, limit)
+                .await
+            {
                 Outcome::Done(_) => {
                     tracing::info!("{id} is cancelled");
                     return Some((200, users::short(id, "withdrawn")));
@@ -435,7 +443,10 @@
         };
         let value = serde_json::to_string(&record).ok()?;
         if value.len() > self.settings.store.value_bytes {
-            return Some((400, serde_json::json!({"error": "the description is too long"})));
+            return Some((
+                400,
+                serde_json::json!({"error": "the description is too long"}),
+            ));
         }
         let write = Write {
             key: key.clone(),
@@ -524,7 +535,12 @@
         let i = self.lock();
         let now = self.now();
         let leads = i.office.may_answer(now);
-        let lately = self.settings.workers.report.times(2.0).plus(Micros::from_secs(5));
+        let lately = self
+            .settings
+            .workers
+            .report
+            .times(2.0)
+            .plus(Micros::from_secs(5));
         Hello {
             node: self.settings.node.clone(),
             term: i.view.term.1.term,
--- a/crates/saltpitch/src/peer.rs
+++ b/crates/saltpitch/src/peer.rs
@@ -47,7 +47,10 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Say {
     Hello(Hello),
-    User { status: u16, body: String },
+    User {
+        status: u16,
+        body: String,
+    },
     /// This node can't serve it either.
     Unable,
 }
@@ -139,7 +142,8 @@
                 let Ok(bytes) = rmp_serde::to_vec(&say) else {
                     return;
                 };
-                let sent = timeout(Duration::from_secs(5), link.send(bytes::Bytes::from(bytes))).await;
+                let sent =
+                    timeout(Duration::from_secs(5), link.send(bytes::Bytes::from(bytes))).await;
                 if !matches!(sent, Ok(Ok(()))) {
                     return;
                 }
--- a/crates/saltpitch/src/settings.rs
+++ b/crates/saltpitch/src/settings.rs
@@ -135,9 +135,7 @@
             cloud_rps: f.number("cluster.cloud.rps", 0.1, 1e5)?,
             list_lag: f.span("cluster.cloud.list_lag_s")?,
             sockets: f.number("cluster.limits.sockets", 32.0, 1e7)? as usize,
-            clock_error: Micros::from_secs_f64(
-                f.number("cluster.clock_error_ms", 0.0, 1e6)? / 1e3,
-            ),
+            clock_error: Micros::from_secs_f64(f.number("cluster.clock_error_ms", 0.0, 1e6)? / 1e3),
         };
         if s.workers.cancel <= s.workers.lease {
             bail!("settings: field `cluster.workers.cancel_s` must exceed `lease_s`");
--- a/crates/saltpitch/src/store.rs
+++ b/crates/saltpitch/src/store.rs
@@ -208,14 +208,21 @@
             )
             .await
             .ok()?;
-        (r.status == 200).then(|| wire::hold(&r.body).ok()).flatten()
+        (r.status == 200)
+            .then(|| wire::hold(&r.body).ok())
+            .flatten()
     }
 
     /// Renews a hold: Some(true) renewed, Some(false) it is gone, None not known.
     pub async fn touch(&self, hold: u64) -> Option<bool> {
         let path = format!("/holds/{hold}/touch");
         match self
-            .call(Method::POST, &path, Vec::new(), Duration::from_millis(1_000))
+            .call(
+                Method::POST,
+                &path,
+                Vec::new(),
+                Duration::from_millis(1_000),
+            )
             .await
         {
             Ok(r) if r.status == 200 => Some(true),
--- a/crates/saltpitch/src/wire/users.rs
+++ b/crates/saltpitch/src/wire/users.rs
@@ -8,9 +8,8 @@
 
 /// Whether `id` has the form that job ids always have.
 pub fn is_job_id(id: &str) -> bool {
-    id.strip_prefix("job-").is_some_and(|d| {
-        (1..=40).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit())
-    })
+    id.strip_prefix("job-")
+        .is_some_and(|d| (1..=40).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
 }
 
 /// The id in a submission, wherever the rest of it stands.
