--- a/crates/saltpitch-core/src/job.rs
+++ b/crates/saltpitch-core/src/job.rs
@@ -89,10 +89,7 @@
             .ok_or(Never::Team)?;
         let held = catalog.types.iter().any(|t| {
             self.need.fits(&t.size)
-                && self
-                    .types
-                    .as_ref()
-                    .is_none_or(|ts| ts.iter().any(|n| *n == t.name))
+                && self.types.as_ref().is_none_or(|ts| ts.contains(&t.name))
                 && t.zones
                     .iter()
                     .any(|z| self.zone.as_ref().is_none_or(|want| want == z))
--- a/crates/saltpitch-core/src/leader/capacity.rs
+++ b/crates/saltpitch-core/src/leader/capacity.rs
@@ -8,7 +8,6 @@
 use crate::cluster::{JobNo, Machine, Phase};
 use crate::gang::Gang;
 use crate::job::{JobSpec, Kind};
-use crate::placement;
 use crate::time::Micros;
 
 /// What the cloud refused, and until when not to ask again.
@@ -56,7 +55,7 @@
         let mut bins = self.coming(now);
         let mut batch_room = self.batch_room(now);
         let mut team_left: HashMap<String, Res> = HashMap::new();
-        for w in self.waiting() {
+        for w in self.waiting(now) {
             let Some(job) = self.jobs.get(&w.no) else {
                 continue;
             };
@@ -133,7 +132,7 @@
                 .filter(|j| j.spec.kind != Kind::Array)
                 .map(|j| j.spec.need.cpu)
                 .sum();
-            if m.kind.size.gpu == 0 {
+            if m.kind.size.gpu == 0 || !self.contested_for_any(&m.kind.size) {
                 room += m.kind.size.cpu.saturating_sub(services) * horizon;
             }
         }
@@ -144,6 +143,11 @@
         room
     }
 
+    fn contested_for_any(&self, size: &Res) -> bool {
+        let wanted: Vec<Res> = self.gpu_needs.values().copied().collect();
+        crate::placement::contested(size, &wanted)
+    }
+
     /// How many of `want` tasks the machines already there won't get through in time.
     fn unserved(&self, spec: &JobSpec, want: u64, room: &mut u64) -> u64 {
         let est = (self.estimate(spec).0 / 1_000_000).max(1);
@@ -210,7 +214,7 @@
     fn suits_type(&self, spec: &JobSpec, name: &str) -> bool {
         self.catalog
             .get(name)
-            .is_some_and(|t| placement::suits(spec, t.size.gpu > 0, &self.catalog))
+            .is_some_and(|t| !self.contested_for(spec, &t.size))
     }
 
     /// The machine that holds a task of this job for the least money, of those that the cloud has
@@ -225,7 +229,7 @@
     ) -> Option<Bin> {
         let mut best: Option<((u64, u64), Bin)> = None;
         for t in &self.catalog.types {
-            if !spec.need.fits(&t.size) || !placement::suits(spec, t.size.gpu > 0, &self.catalog) {
+            if !spec.need.fits(&t.size) || self.contested_for(spec, &t.size) {
                 continue;
             }
             let per = spec.need.count_in(&t.size).min(left).max(1);
--- a/crates/saltpitch-core/src/leader/evidence.rs
+++ b/crates/saltpitch-core/src/leader/evidence.rs
@@ -559,8 +559,7 @@
                     .is_some_and(|d| now.since(d.1) > Micros::from_secs(6));
             let asks = m.phase == Phase::Up || (m.phase == Phase::Unheard && !m.holds.is_empty());
             let unfenced = m.phase == Phase::Unheard && m.recorded;
-            if (asks || unfenced)
-                && (quiet > report.times(1.4) || unfenced)
+            if (unfenced || (asks && quiet > report.times(1.4)))
                 && now >= m.probe_after
                 && !m.addr.is_empty()
             {
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -34,9 +34,27 @@
     /// Bytes that one transaction may hold, with room to spare.
     pub txn_bytes: usize,
     pub teams: Vec<TeamLimits>,
+    pub objectives: Vec<Objective>,
     pub policy: Policy,
 }
 
+/// What is expected of a class of jobs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Objective {
+    pub class: String,
+    pub aim: Aim,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Aim {
+    /// Started within this time.
+    Wait(Micros),
+    /// Done within this time.
+    Finished(Micros),
+    /// Done by this many times the job's own deadline.
+    Deadline(f64),
+}
+
 /// What operators may want to vary.
 #[derive(Clone, Debug)]
 pub struct Policy {
@@ -162,6 +180,8 @@
     pub avoid: BTreeMap<Arc<str>, Micros>,
     pub errors: u32,
     pub preempted_at: Micros,
+    /// All tasks were placed at one time.
+    pub started: bool,
     pub zones: BTreeMap<Arc<str>, u32>,
 }
 
@@ -223,6 +243,10 @@
     refusals: HashMap<(String, String, bool), Refusal>,
     /// Run time seen over the owner's estimate, per class.
     ratios: HashMap<String, f64>,
+    /// What tasks with accelerators need, by class.
+    gpu_needs: HashMap<String, Res>,
+    /// Each active job's place in the order of service, as of the last pass.
+    ranks: HashMap<JobNo, u8>,
     /// Zones in which a controller can be reached from here: a silent machine there is no sign of
     /// a cut.
     pub open_zones: BTreeSet<String>,
@@ -274,6 +298,8 @@
             next_request: 1,
             refusals: HashMap::new(),
             ratios: HashMap::new(),
+            gpu_needs: HashMap::new(),
+            ranks: HashMap::new(),
             open_zones: BTreeSet::new(),
             wall_offset: wall.since(now),
             took_office: now,
@@ -380,6 +406,7 @@
             avoid: BTreeMap::new(),
             errors: 0,
             preempted_at: Micros::ZERO,
+            started: false,
             zones: BTreeMap::new(),
             spec,
         };
@@ -408,6 +435,9 @@
         for i in done {
             job.idle.remove(&i);
         }
+        if job.spec.need.gpu > 0 {
+            self.gpu_needs.insert(job.spec.class.clone(), job.spec.need);
+        }
         self.by_id.insert(job.id.clone(), no);
         self.jobs.insert(no, job);
         let mut lost = false;
@@ -486,6 +516,7 @@
         }));
         job.idle.remove(&task);
         job.placed += 1;
+        job.started |= job.idle.is_empty();
         *job.zones.entry(m.zone.clone()).or_default() += 1;
         m.holds.insert((no, task));
         m.used = m.used.plus(&job.spec.need);
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::{Job, Leader, Seen};
+use super::{Aim, Job, Leader, Seen};
 use crate::catalog::Res;
 use crate::cluster::JobNo;
 use crate::gang::{permit, pre_enqueue, Gang, Permit};
@@ -23,7 +23,8 @@
 impl Leader {
     /// Jobs with tasks to place, most urgent first: production, then what lies within its team's
     /// guarantee, then the rest, each by priority and age.
-    pub(super) fn waiting(&self) -> Vec<Waiting> {
+    pub(super) fn waiting(&mut self, now: Micros) -> Vec<Waiting> {
+        let mut ranks = HashMap::new();
         let mut by_age: Vec<(&JobNo, &Job)> =
             self.jobs.iter().filter(|(_, j)| j.active()).collect();
         by_age.sort_by_key(|(no, j)| (j.submitted, **no));
@@ -38,16 +39,20 @@
             let whole = sum.plus(&j.spec.need.times(left));
             let guaranteed = team.guarantees(&whole);
             *sum = whole;
-            if j.idle.is_empty() {
-                continue;
-            }
-            let class = match (j.spec.priority, guaranteed) {
+            let due = self.start_by(j, now);
+            let rank = match (j.spec.priority, guaranteed) {
                 (Priority::Production, _) => 0u8,
                 (_, true) => 1,
-                _ => 2,
+                (Priority::High, _) => 2,
+                _ if due.is_some() => 3,
+                _ => 4,
             };
-            let due = j.spec.deadline.map_or(j.submitted, |d| j.submitted.plus(d));
-            let key = (class, std::cmp::Reverse(j.spec.priority), due, *no);
+            ranks.insert(*no, rank);
+            if j.idle.is_empty() {
+                continue;
+            }
+            let high = j.spec.priority < Priority::High;
+            let key = (rank, high, due.unwrap_or(j.submitted), *no);
             list.push((
                 key,
                 Waiting {
@@ -57,11 +62,49 @@
             ));
         }
         list.sort_by_key(|x| x.0);
+        self.ranks = ranks;
         list.into_iter().map(|x| x.1).collect()
     }
 
+    /// The latest start that keeps the next aim that can still be kept. None: every aim for this
+    /// job is missed, so that it comes after those that can still be served in time.
+    fn start_by(&self, job: &Job, now: Micros) -> Option<Micros> {
+        let run = self.estimate(&job.spec).times(1.2);
+        let mut latest: Option<Micros> = None;
+        let mut any = false;
+        for o in &self.cfg.objectives {
+            if o.class != job.spec.class {
+                continue;
+            }
+            any = true;
+            let by = match o.aim {
+                Aim::Wait(_) if job.started => continue,
+                Aim::Wait(w) => job.submitted.plus(w),
+                Aim::Finished(w) => job.submitted.plus(w).since(run),
+                Aim::Deadline(times) => match job.spec.deadline {
+                    Some(d) => job.submitted.plus(d.times(times)).since(run),
+                    None => continue,
+                },
+            };
+            if by > now {
+                latest = Some(latest.map_or(by, |l| l.min(by)));
+            }
+        }
+        if any {
+            return latest;
+        }
+        let own = job.spec.deadline.map(|d| job.submitted.plus(d).since(run));
+        Some(own.unwrap_or_else(|| job.submitted.plus(Micros::from_secs(60))))
+    }
+
+    /// Whether accelerators that other work needs make this machine type a last resort for `spec`.
+    pub(super) fn contested_for(&self, spec: &JobSpec, size: &Res) -> bool {
+        let wanted: Vec<Res> = self.gpu_needs.values().copied().collect();
+        spec.need.gpu == 0 && placement::contested(size, &wanted)
+    }
+
     pub(super) fn schedule(&mut self, now: Micros) {
-        for w in self.waiting() {
+        for w in self.waiting(now) {
             let Some(job) = self.jobs.get(&w.no) else {
                 continue;
             };
@@ -92,7 +135,7 @@
                     && zone.is_none_or(|z| z == &*m.zone)
                     && spec.need.fits(&m.free())
                     && spec.allows(&m.kind.name, &m.zone, m.spot)
-                    && placement::suits(spec, m.kind.size.gpu > 0, &self.catalog)
+                    && (spec.kind == Kind::Array || !self.contested_for(spec, &m.kind.size))
                     && job.avoid.get(&m.name).is_none_or(|until| *until <= now)
             })
             .map(|m| (placement::score(spec, m, now), &m.name))
@@ -225,10 +268,7 @@
             job.next_attempt(0)
         };
         for name in self.candidates(job, zone, now) {
-            loop {
-                let (Some(job), Some(m)) = (self.jobs.get(&no), self.machines.get(&name)) else {
-                    break;
-                };
+            while let (Some(job), Some(m)) = (self.jobs.get(&no), self.machines.get(&name)) {
                 let Some(&task) = job.idle.first() else {
                     return;
                 };
@@ -265,7 +305,7 @@
         if now.since(job.preempted_at) < Micros::from_secs(2) && job.preempted_at > Micros::ZERO {
             return;
         }
-        if spec.priority == Priority::Low && !w.guaranteed {
+        if spec.priority < Priority::High && !w.guaranteed {
             return;
         }
         let mut stops: Vec<(JobNo, u32)> = Vec::new();
@@ -317,7 +357,7 @@
         for m in self.machines.values() {
             if !m.takes_tasks(now, quiet)
                 || !spec.allows(&m.kind.name, &m.zone, m.spot)
-                || !placement::suits(spec, m.kind.size.gpu > 0, &self.catalog)
+                || self.contested_for(spec, &m.kind.size)
                 || !spec.need.fits(&m.kind.size)
                 || !Self::zone_allows(job, &m.zone)
                 || job.avoid.get(&m.name).is_some_and(|until| *until > now)
@@ -368,6 +408,12 @@
     /// The protocol's terms: higher priority over lower; a guarantee over what another team runs
     /// beyond its own.
     fn may_stop(&self, w: Waiting, spec: &JobSpec, other: &Job) -> bool {
+        // Only what is served later anyway: otherwise two jobs could stop each other in turn.
+        let rank = |no: JobNo| self.ranks.get(&no).copied().unwrap_or(u8::MAX);
+        let other_no = self.by_id.get(&other.id).copied().unwrap_or(0);
+        if rank(other_no) <= rank(w.no) {
+            return false;
+        }
         if other.spec.priority < spec.priority {
             return true;
         }
--- a/crates/saltpitch-core/src/placement.rs
+++ b/crates/saltpitch-core/src/placement.rs
@@ -1,6 +1,6 @@
 //! Filter and score: where one task of a job goes on the present snapshot.
 
-use crate::catalog::Catalog;
+use crate::catalog::Res;
 use crate::cluster::Machine;
 use crate::job::{JobSpec, Kind};
 use crate::time::Micros;
@@ -17,27 +17,23 @@
     // Fill the fullest machine first, so that others become empty and can go back.
     let free = m.free();
     let room = 1_000 * free.cpu / m.kind.size.cpu.max(1);
+    // Accelerators are left to those who need them as long as there is other room.
+    let gpu = if spec.need.gpu == 0 && m.kind.size.gpu > 0 {
+        3_000
+    } else {
+        0
+    };
     // A service on a machine that is about to be needed elsewhere would have to move.
     let young = if spec.kind == Kind::Service && now.since(m.up_since) < Micros::from_secs(5) {
         10
     } else {
         0
     };
-    fetch + kind + room + young
+    fetch + kind + room + gpu + young
 }
 
-/// Whether tasks of this job belong on machines of this type at all: accelerators are left to
-/// those who need them wherever another type would do.
-pub fn suits(spec: &JobSpec, gpu_type: bool, catalog: &Catalog) -> bool {
-    if spec.need.gpu > 0 || !gpu_type {
-        return true;
-    }
-    !catalog.types.iter().any(|t| {
-        t.size.gpu == 0
-            && spec.need.fits(&t.size)
-            && spec
-                .types
-                .as_ref()
-                .is_none_or(|ts| ts.iter().any(|n| *n == t.name))
-    })
+/// Whether a machine type with accelerators is one that waiting or running work with accelerators
+/// fits on: other work may use it meanwhile, but nothing is rented for that.
+pub fn contested(size: &Res, wanted: &[Res]) -> bool {
+    size.gpu > 0 && wanted.iter().any(|w| w.fits(size))
 }
--- a/crates/saltpitch-core/src/records.rs
+++ b/crates/saltpitch-core/src/records.rs
@@ -209,11 +209,9 @@
     /// Applies the deletion of a key, unless a newer write of it is already there.
     pub fn delete(&mut self, key: &str, rev: u64) -> Change {
         match split(key) {
-            Key::Leader => {
-                if self.leader.as_ref().is_some_and(|l| l.0 < rev) {
-                    self.leader = None;
-                    return Change::Leader;
-                }
+            Key::Leader if self.leader.as_ref().is_some_and(|l| l.0 < rev) => {
+                self.leader = None;
+                return Change::Leader;
             }
             Key::Chunk(id, no) => {
                 if let Some(chunks) = self.chunks.get_mut(id) {
@@ -225,12 +223,10 @@
                     }
                 }
             }
-            Key::Machine(name) => {
-                if self.machines.get(name).is_none_or(|m| m.0 < rev) {
-                    self.machines.remove(name);
-                    self.gone.insert(name.to_owned());
-                    return Change::Machine;
-                }
+            Key::Machine(name) if self.machines.get(name).is_none_or(|m| m.0 < rev) => {
+                self.machines.remove(name);
+                self.gone.insert(name.to_owned());
+                return Change::Machine;
             }
             _ => {}
         }
--- a/crates/saltpitch/src/node.rs
+++ b/crates/saltpitch/src/node.rs
@@ -191,10 +191,8 @@
                     self.wake.notify_one();
                 }
             }
-            Change::Catalog => {
-                if i.catalog.is_none() {
-                    i.catalog = i.view.catalog.as_ref().map(|c| c.1.clone());
-                }
+            Change::Catalog if i.catalog.is_none() => {
+                i.catalog = i.view.catalog.as_ref().map(|c| c.1.clone());
             }
             Change::Node(name) => {
                 let now = self.now();
--- a/crates/saltpitch/src/settings.rs
+++ b/crates/saltpitch/src/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use anyhow::{bail, Context, Result};
-use saltpitch_core::leader::{Config, Policy};
+use saltpitch_core::leader::{Aim, Config, Objective, Policy};
 use saltpitch_core::quota::TeamLimits;
 use saltpitch_core::Micros;
 use serde::de::DeserializeOwned;
@@ -26,8 +26,8 @@
     pub store: StoreLimits,
     pub cloud_rps: f64,
     pub list_lag: Micros,
-    pub sockets: usize,
     pub clock_error: Micros,
+    pub objectives: Vec<Objective>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -134,7 +134,7 @@
             },
             cloud_rps: f.number("cluster.cloud.rps", 0.1, 1e5)?,
             list_lag: f.span("cluster.cloud.list_lag_s")?,
-            sockets: f.number("cluster.limits.sockets", 32.0, 1e7)? as usize,
+            objectives: objectives(&f)?,
             clock_error: Micros::from_secs_f64(f.number("cluster.clock_error_ms", 0.0, 1e6)? / 1e3),
         };
         if s.workers.cancel <= s.workers.lease {
@@ -158,11 +158,34 @@
             txn_ops: self.store.txn_ops,
             txn_bytes: 56 * 1024,
             teams: self.teams.clone(),
+            objectives: self.objectives.clone(),
             policy: Policy::default(),
         }
     }
 }
 
+/// The aims on classes; kinds that say nothing of when to start or finish are passed over.
+fn objectives(f: &Fields) -> Result<Vec<Objective>> {
+    if f.value("cluster.objectives").is_err() {
+        return Ok(Vec::new());
+    }
+    let list: Vec<Value> = f.get("cluster.objectives")?;
+    let mut all = Vec::new();
+    for (i, o) in list.iter().enumerate() {
+        let o = Fields(o);
+        let place = || format!("settings: field `cluster.objectives[{i}]`");
+        let aim = match o.text("kind").with_context(place)?.as_str() {
+            "wait" => Aim::Wait(o.span("within_s").with_context(place)?),
+            "finished" => Aim::Finished(o.span("within_s").with_context(place)?),
+            "deadline" => Aim::Deadline(o.number("times", 0.01, 1e3).with_context(place)?),
+            _ => continue,
+        };
+        let class = o.text("class").with_context(place)?;
+        all.push(Objective { class, aim });
+    }
+    Ok(all)
+}
+
 fn teams(f: &Fields) -> Result<Vec<TeamLimits>> {
     let list: Vec<Value> = f.get("cluster.teams")?;
     let mut teams = Vec::new();
