--- a/crates/saltpitch-core/src/cluster.rs
+++ b/crates/saltpitch-core/src/cluster.rs
@@ -121,6 +121,8 @@
     pub probe_after: Micros,
     pub return_after: Micros,
     pub idle_since: Micros,
+    /// When a task that needs what this machine is rented for was last here.
+    pub wanted_at: Micros,
     pub condemned: bool,
     pub strikes: BTreeSet<JobNo>,
     images: BTreeMap<String, (u64, Micros)>,
@@ -163,6 +165,7 @@
             probe_after: Micros::ZERO,
             return_after: Micros::ZERO,
             idle_since: now,
+            wanted_at: now,
             condemned: false,
             strikes: BTreeSet::new(),
             images: BTreeMap::new(),
--- a/crates/saltpitch-core/src/leader/capacity.rs
+++ b/crates/saltpitch-core/src/leader/capacity.rs
@@ -366,6 +366,14 @@
         r.until = now.plus(Micros::from_secs(5 << r.times));
     }
 
+    /// How long a machine is kept empty.
+    pub(super) fn keep(&self, m: &Machine) -> Micros {
+        m.kind
+            .boot
+            .times(self.cfg.policy.idle_boots)
+            .max(Micros::from_secs(20))
+    }
+
     fn return_idle(&mut self, now: Micros) {
         let mut back = Vec::new();
         for m in self.machines.values() {
@@ -373,13 +381,9 @@
                 continue;
             }
             let idle = now.since(m.idle_since);
-            let keep = m
-                .kind
-                .boot
-                .times(self.cfg.policy.idle_boots)
-                .max(Micros::from_secs(20));
+            let keep = self.keep(m);
             let stale = match m.phase {
-                Phase::Up => m.condemned || idle > keep,
+                Phase::Up => m.condemned || idle > keep || now.since(m.wanted_at) > keep,
                 // Some never come up.
                 Phase::Unheard => {
                     now.since(m.born.max(self.took_office))
--- a/crates/saltpitch-core/src/leader/evidence.rs
+++ b/crates/saltpitch-core/src/leader/evidence.rs
@@ -127,6 +127,7 @@
                 m.phase = Phase::Up;
                 m.up_since = now;
                 m.idle_since = now;
+                m.wanted_at = now;
                 self.schedule_wanted = true;
             }
             if m.addr != r.addr {
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -546,6 +546,9 @@
             }
             m.holds.remove(&(no, task));
             m.used = m.used.minus(&job.spec.need);
+            if job.spec.need.gpu > 0 || m.kind.size.gpu == 0 {
+                m.wanted_at = now;
+            }
             if m.holds.is_empty() {
                 m.idle_since = now;
             }
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -5,7 +5,7 @@
 
 use super::{Aim, Job, Leader, Seen};
 use crate::catalog::Res;
-use crate::cluster::JobNo;
+use crate::cluster::{JobNo, Machine};
 use crate::gang::{permit, pre_enqueue, Gang, Permit};
 use crate::job::{JobSpec, Kind, Priority};
 use crate::placement;
@@ -94,7 +94,8 @@
             return latest;
         }
         let own = job.spec.deadline.map(|d| job.submitted.plus(d).since(run));
-        Some(own.unwrap_or_else(|| job.submitted.plus(Micros::from_secs(60))))
+        // Nobody said when: after those for whom somebody did.
+        Some(own.unwrap_or_else(|| job.submitted.plus(Micros::from_secs(900))))
     }
 
     /// Whether accelerators that other work needs make this machine type a last resort for `spec`.
@@ -103,6 +104,15 @@
         spec.need.gpu == 0 && placement::contested(size, &wanted)
     }
 
+    /// Machines whose accelerators others need lend their processors only to tasks that can save
+    /// when they have to make way, and only while the machine is kept for those others anyway.
+    fn may_borrow(&self, spec: &JobSpec, m: &Machine, now: Micros) -> bool {
+        if !self.contested_for(spec, &m.kind.size) {
+            return true;
+        }
+        spec.kind == Kind::Array && spec.saves() && now.since(m.wanted_at) < self.keep(m)
+    }
+
     pub(super) fn schedule(&mut self, now: Micros) {
         for w in self.waiting(now) {
             let Some(job) = self.jobs.get(&w.no) else {
@@ -135,7 +145,7 @@
                     && zone.is_none_or(|z| z == &*m.zone)
                     && spec.need.fits(&m.free())
                     && spec.allows(&m.kind.name, &m.zone, m.spot)
-                    && (spec.kind == Kind::Array || !self.contested_for(spec, &m.kind.size))
+                    && self.may_borrow(spec, m, now)
                     && job.avoid.get(&m.name).is_none_or(|until| *until <= now)
             })
             .map(|m| (placement::score(spec, m, now), &m.name))
--- a/crates/saltpitch-core/src/placement.rs
+++ b/crates/saltpitch-core/src/placement.rs
@@ -19,7 +19,7 @@
     let room = 1_000 * free.cpu / m.kind.size.cpu.max(1);
     // Accelerators are left to those who need them as long as there is other room.
     let gpu = if spec.need.gpu == 0 && m.kind.size.gpu > 0 {
-        3_000
+        15_000
     } else {
         0
     };
