Smallest remaining work first among jobs still in time

Cause: the parking site has more batch work than processors, and first come first served made all of it late.

--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -35,6 +35,8 @@
     pub txn_bytes: usize,
     pub teams: Vec<TeamLimits>,
     pub objectives: Vec<Objective>,
+    /// Work within a team's guarantee is to be started within this time.
+    pub guarantee_within: Micros,
     pub policy: Policy,
 }
 
@@ -692,14 +694,26 @@
             .sum();
         let placed: u32 = self.jobs.values().map(|j| j.placed).sum();
         let up = self.machines.values().filter(|m| m.is_up()).count();
+        let mut room: BTreeMap<&str, (u64, u64, u64)> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| m.is_up()) {
+            let r = room.entry(&m.kind.name).or_default();
+            r.0 += 1;
+            r.1 += m.used.cpu / 1_000;
+            r.2 += m.kind.size.cpu / 1_000;
+        }
+        let room: Vec<String> = room
+            .iter()
+            .map(|(t, (n, used, all))| format!("{t} {n}: {used}/{all}"))
+            .collect();
         format!(
-            "term {} jobs {} waiting {} placed {} machines {} up {} dirty {} paused {}",
+            "term {} jobs {} waiting {} placed {} machines {} up {} [{}] dirty {} paused {}",
             self.term,
             self.jobs.len(),
             idle,
             placed,
             self.machines.len(),
             up,
+            room.join(", "),
             self.dirty.len() + self.final_jobs.len() + self.dirty_machines.len(),
             self.paused
         )
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -40,9 +40,10 @@
             let guaranteed = team.guarantees(&whole);
             *sum = whole;
             let due = self.start_by(j, now);
+            let young = now.since(j.submitted) < self.cfg.guarantee_within;
             let rank = match (j.spec.priority, guaranteed) {
                 (Priority::Production, _) => 0u8,
-                (_, true) => 1,
+                (_, true) if due.is_some() || young => 1,
                 (Priority::High, _) => 2,
                 _ if due.is_some() => 3,
                 _ => 4,
@@ -52,7 +53,9 @@
                 continue;
             }
             let high = j.spec.priority < Priority::High;
-            let key = (rank, high, due.unwrap_or(j.submitted), *no);
+            // When not all can be served in time, the smallest first keeps the most aims.
+            let left = j.idle.len() as u64 * self.estimate(&j.spec).0 / 1_000 * j.spec.need.cpu;
+            let key = (rank, high, left, *no);
             list.push((
                 key,
                 Waiting {
@@ -67,7 +70,8 @@
     }
 
     /// The latest start that keeps the next aim that can still be kept. None: every aim for this
-    /// job is missed, so that it comes after those that can still be served in time.
+    /// job is missed, or nobody said when, so that it comes after those that can still be served in
+    /// time.
     fn start_by(&self, job: &Job, now: Micros) -> Option<Micros> {
         let run = self.estimate(&job.spec).times(1.2);
         let mut latest: Option<Micros> = None;
@@ -95,7 +99,7 @@
         }
         let own = job.spec.deadline.map(|d| job.submitted.plus(d).since(run));
         // Nobody said when: after those for whom somebody did.
-        Some(own.unwrap_or_else(|| job.submitted.plus(Micros::from_secs(900))))
+        own.filter(|by| *by > now)
     }
 
     /// Whether accelerators that other work needs make this machine type a last resort for `spec`.
--- a/crates/saltpitch/src/settings.rs
+++ b/crates/saltpitch/src/settings.rs
@@ -28,6 +28,7 @@
     pub list_lag: Micros,
     pub clock_error: Micros,
     pub objectives: Vec<Objective>,
+    pub guarantee_within: Micros,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -135,6 +136,7 @@
             cloud_rps: f.number("cluster.cloud.rps", 0.1, 1e5)?,
             list_lag: f.span("cluster.cloud.list_lag_s")?,
             objectives: objectives(&f)?,
+            guarantee_within: guarantee(&f),
             clock_error: Micros::from_secs_f64(f.number("cluster.clock_error_ms", 0.0, 1e6)? / 1e3),
         };
         if s.workers.cancel <= s.workers.lease {
@@ -159,6 +161,7 @@
             txn_bytes: 56 * 1024,
             teams: self.teams.clone(),
             objectives: self.objectives.clone(),
+            guarantee_within: self.guarantee_within,
             policy: Policy::default(),
         }
     }
@@ -186,6 +189,16 @@
     Ok(all)
 }
 
+/// How soon work within a team's guarantee is to start, if the aims say so.
+fn guarantee(f: &Fields) -> Micros {
+    let list: Vec<Value> = f.get("cluster.objectives").unwrap_or_default();
+    list.iter()
+        .filter(|o| o.get("kind").and_then(Value::as_str) == Some("guarantee"))
+        .filter_map(|o| Fields(o).span("within_s").ok())
+        .min()
+        .unwrap_or(Micros::from_secs(30))
+}
+
 fn teams(f: &Fields) -> Result<Vec<TeamLimits>> {
     let list: Vec<Value> = f.get("cluster.teams")?;
     let mut teams = Vec::new();
