--- /dev/null
+++ b/crates/saltpitch-testkit/src/nodes.rs
@@ -0,0 +1,214 @@
+//! Stand-ins for the shell round the core: follows the records, holds office, carries effects to
+//! the other stand-ins by the same rules as the real shell.
+
+use std::sync::Arc;
+
+use saltpitch_core::catalog::Catalog;
+use saltpitch_core::leader::{Config, Leader, Write};
+use saltpitch_core::leadership::answer_bound;
+use saltpitch_core::records::{
+    node_key, LeaderRecord, NodeRecord, TermRecord, View, LEADER_KEY, TERM_KEY,
+};
+use saltpitch_core::Micros;
+
+use crate::store::Store;
+
+pub const HOLD: Micros = Micros::from_secs(3);
+
+pub struct Node {
+    pub name: String,
+    pub zone: String,
+    pub up_at: Micros,
+    pub life: u64,
+    pub announced: bool,
+    pub view: View,
+    pub leader: Option<Leader>,
+    pub hold: Option<u64>,
+    pub epoch: u64,
+    pub answers_until: Micros,
+    pub previous: Option<(String, u64)>,
+    pub elders_silent_at: Micros,
+    /// Cut from the store, and from the workers, until then.
+    pub no_store_until: Micros,
+    pub no_workers_until: Micros,
+    pub shy_until: Micros,
+    pub deaf_since: Option<Micros>,
+}
+
+impl Node {
+    pub fn new(name: &str, zone: &str) -> Node {
+        Node {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            up_at: Micros::ZERO,
+            life: 1,
+            announced: false,
+            view: View::default(),
+            leader: None,
+            hold: None,
+            epoch: 0,
+            answers_until: Micros::ZERO,
+            previous: None,
+            elders_silent_at: Micros::ZERO,
+            no_store_until: Micros::ZERO,
+            no_workers_until: Micros::ZERO,
+            shy_until: Micros::ZERO,
+            deaf_since: None,
+        }
+    }
+
+    pub fn is_up(&self, now: Micros) -> bool {
+        now >= self.up_at
+    }
+
+    pub fn may_answer(&self, now: Micros) -> bool {
+        self.is_up(now) && self.leader.is_some() && now < self.answers_until
+    }
+
+    pub fn depose(&mut self) {
+        self.leader = None;
+        self.hold = None;
+        self.deaf_since = None;
+        self.epoch += 1;
+    }
+
+    /// The process ends; a new one starts at `up_at`, with nothing but the settings.
+    pub fn crash(&mut self, up_at: Micros) {
+        let epoch = self.epoch + 1;
+        let (store, workers) = (self.no_store_until, self.no_workers_until);
+        *self = Node {
+            epoch,
+            up_at,
+            no_store_until: store,
+            no_workers_until: workers,
+            ..Node::new(&self.name, &self.zone)
+        };
+    }
+
+    pub fn reaches_store(&self, store: &Store, now: Micros) -> bool {
+        !store.down && now >= self.no_store_until
+    }
+
+    /// Takes in the changes that the store has.
+    pub fn follow(&mut self, store: &Store, now: Micros) {
+        let mut changed = Vec::new();
+        for (rev, key, value) in store.changes(self.view.rev) {
+            match value {
+                Some(v) => {
+                    if let Ok(saltpitch_core::records::Change::Job(id)) =
+                        self.view.put(key, &v, rev)
+                    {
+                        changed.push(id);
+                    }
+                }
+                None => {
+                    self.view.delete(key, rev);
+                }
+            }
+        }
+        self.view.rev = store.rev;
+        let (rev, t) = self.view.term.clone();
+        let own = t.node == self.name && t.life == self.life;
+        match self.leader.as_mut() {
+            Some(l) if l.term < t.term && own => l.term_raised(t.term, rev),
+            Some(l) if l.term < t.term => self.depose(),
+            _ => {}
+        }
+        let gone = self
+            .previous
+            .as_ref()
+            .is_some_and(|p| self.view.life(&p.0) > p.1);
+        if gone {
+            self.previous = None;
+            let silent = now.max(self.elders_silent_at);
+            if let Some(l) = self.leader.as_mut() {
+                l.old_leader_gone(silent);
+            }
+        }
+        if let Some(l) = self.leader.as_mut() {
+            for id in changed {
+                l.job_changed(&self.view, &id, now, now);
+            }
+        }
+    }
+
+    pub fn announce(&mut self, store: &mut Store) {
+        let (rev, known) = self
+            .view
+            .nodes
+            .get(&self.name)
+            .map_or((0, 0), |n| (n.0, n.1.life));
+        self.life = known + 1;
+        let key = node_key(&self.name);
+        let write = Write {
+            key: key.clone(),
+            value: serde_json::to_string(&NodeRecord { life: self.life }).ok(),
+        };
+        let done = store.txn(&[(key, rev)], &[write], None);
+        self.announced = matches!(done, saltpitch_core::leader::Outcome::Done(_));
+    }
+
+    /// Takes office if it is vacant. The stand-in's election is instant; what follows is not.
+    pub fn elect(&mut self, store: &mut Store, cfg: &Config, catalog: &Arc<Catalog>, now: Micros) {
+        let leader_rev = match &self.view.leader {
+            None => 0,
+            Some(l) if l.1.node == self.name && l.1.life < self.life => l.0,
+            Some(_) => return,
+        };
+        let Some(hold) = store.open_hold(HOLD, now) else {
+            return;
+        };
+        let bound = answer_bound(cfg.cancel, cfg.lease);
+        let (term_rev, old) = self.view.term.clone();
+        let previous = (term_rev > 0)
+            .then(|| (old.node.clone(), old.life))
+            .filter(|(n, life)| self.view.life(n) <= *life);
+        let quiet = match previous {
+            Some(_) => old.quiet.max(now.plus(bound)),
+            None => old.quiet,
+        };
+        let term = TermRecord {
+            term: old.term + 1,
+            node: self.name.clone(),
+            life: self.life,
+            quiet,
+        };
+        let leader = LeaderRecord {
+            node: self.name.clone(),
+            life: self.life,
+            term: term.term,
+        };
+        let writes = [
+            Write {
+                key: TERM_KEY.to_owned(),
+                value: serde_json::to_string(&term).ok(),
+            },
+            Write {
+                key: LEADER_KEY.to_owned(),
+                value: serde_json::to_string(&leader).ok(),
+            },
+        ];
+        let when = [
+            (TERM_KEY.to_owned(), term_rev),
+            (LEADER_KEY.to_owned(), leader_rev),
+        ];
+        let done = store.txn(&when, &writes, Some((hold, LEADER_KEY)));
+        if !matches!(done, saltpitch_core::leader::Outcome::Done(_)) {
+            store.drop_hold(hold);
+            return;
+        }
+        self.follow(store, now);
+        self.elders_silent_at = now.plus(old.quiet.since(now));
+        let silent = match &previous {
+            Some(_) => self.elders_silent_at.max(now.plus(bound)),
+            None => self.elders_silent_at,
+        };
+        self.previous = previous;
+        self.epoch += 1;
+        self.hold = Some(hold);
+        self.answers_until = now.plus(bound);
+        let mut l = Leader::new(cfg.clone(), &self.view, catalog.clone(), silent, now, now);
+        l.open_zones.insert(self.zone.clone());
+        self.leader = Some(l);
+    }
+}
--- /dev/null
+++ b/crates/saltpitch-testkit/src/workers.rs
@@ -0,0 +1,195 @@
+//! A stand-in for one machine and its worker.
+
+use std::collections::BTreeMap;
+
+use saltpitch_core::cluster::{Cause, Order, Report, SeenTask, TaskState};
+use saltpitch_core::job::{JobSpec, Kind};
+use saltpitch_core::Micros;
+
+use crate::world::Times;
+
+pub type TaskId = (String, u32);
+
+#[derive(Clone, Debug)]
+pub struct Held {
+    pub attempt: u32,
+    pub state: TaskState,
+    /// When the present phase ends by itself.
+    pub until: Micros,
+    pub run: Micros,
+}
+
+impl Held {
+    pub fn exited(&self) -> bool {
+        matches!(self.state, TaskState::Exited { .. })
+    }
+
+    /// On the machine in the sense of the rules: it has its image and has not exited.
+    pub fn on(&self) -> bool {
+        !self.exited() && self.state != TaskState::Fetching
+    }
+}
+
+pub struct Worker {
+    pub name: String,
+    pub type_name: String,
+    pub zone: String,
+    pub spot: bool,
+    pub size: saltpitch_core::catalog::Res,
+    pub boots_at: Micros,
+    pub gone: bool,
+    pub hung_until: Micros,
+    pub session: u64,
+    pub seq: u64,
+    pub token: u64,
+    pub lease_from: Micros,
+    pub notice: Option<Micros>,
+    pub tasks: BTreeMap<(TaskId, u32), Held>,
+    /// The node that it reports to.
+    pub target: usize,
+    pub next_report: Micros,
+    /// The report in flight: its sequence number and when it was sent.
+    pub waiting: Option<(u64, Micros)>,
+    pub changed: bool,
+}
+
+impl Worker {
+    pub fn is_up(&self, now: Micros) -> bool {
+        !self.gone && now >= self.boots_at && now >= self.hung_until
+    }
+
+    pub fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.name.clone(),
+            addr: self.name.clone(),
+            type_name: self.type_name.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice: self.notice,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|((id, _), h)| SeenTask {
+                    job: id.0.clone(),
+                    task: id.1,
+                    attempt: h.attempt,
+                    state: h.state,
+                })
+                .collect(),
+        }
+    }
+
+    /// Takes a token; false: it is lower than one seen before.
+    pub fn take_token(&mut self, token: u64) -> bool {
+        if token < self.token {
+            return false;
+        }
+        if token > self.token {
+            self.token = token;
+            self.changed = true;
+        }
+        true
+    }
+
+    fn used(&self, spec_of: &dyn Fn(&str) -> Option<JobSpec>) -> saltpitch_core::catalog::Res {
+        self.tasks
+            .iter()
+            .filter(|(_, h)| !h.exited())
+            .filter_map(|((id, _), _)| spec_of(&id.0))
+            .fold(Default::default(), |sum, s| {
+                saltpitch_core::catalog::Res::plus(&sum, &s.need)
+            })
+    }
+
+    pub fn execute(
+        &mut self,
+        orders: &[Order],
+        spec_of: &dyn Fn(&str) -> Option<JobSpec>,
+        luck: &mut dyn FnMut(u64) -> u64,
+        now: Micros,
+    ) {
+        for o in orders {
+            match o {
+                Order::Start { job, task, attempt } => {
+                    let id = (job.to_string(), *task);
+                    if self.tasks.contains_key(&(id.clone(), *attempt)) {
+                        continue;
+                    }
+                    let refused = |cause| TaskState::Exited {
+                        cause,
+                        saved: false,
+                    };
+                    let other = self.tasks.iter().any(|((i, _), h)| *i == id && !h.exited());
+                    let (state, run) = match spec_of(job) {
+                        None => (refused(Cause::Unknown), Micros::ZERO),
+                        Some(_) if other => (refused(Cause::Busy), Micros::ZERO),
+                        Some(s) if !s.need.plus(&self.used(spec_of)).fits(&self.size) => {
+                            (refused(Cause::NoRoom), Micros::ZERO)
+                        }
+                        Some(s) => {
+                            let run = match s.kind {
+                                Kind::Service => Micros::from_secs(1_000_000),
+                                _ => s.estimate.times(0.5 + luck(100) as f64 / 100.0),
+                            };
+                            (TaskState::Fetching, run)
+                        }
+                    };
+                    let fetch = Micros::from_millis(200 + luck(4_000));
+                    let held = Held {
+                        attempt: *attempt,
+                        state,
+                        until: now.plus(fetch),
+                        run,
+                    };
+                    self.tasks.insert((id, *attempt), held);
+                    self.changed = true;
+                }
+                Order::Stop {
+                    job,
+                    task,
+                    attempt,
+                    grace,
+                } => {
+                    let key = ((job.to_string(), *task), *attempt);
+                    let Some(h) = self.tasks.get_mut(&key).filter(|h| !h.exited()) else {
+                        continue;
+                    };
+                    let save = spec_of(job).filter(|s| s.saves()).map(|s| s.save);
+                    let can = save.is_some_and(|s| *grace >= s) && h.state == TaskState::Running;
+                    if can {
+                        h.state = TaskState::Saving;
+                        h.until = now.plus(save.unwrap_or_default());
+                    } else if h.state != TaskState::Saving || *grace == Micros::ZERO {
+                        h.state = TaskState::Exited {
+                            cause: Cause::Stopped,
+                            saved: false,
+                        };
+                    }
+                    self.changed = true;
+                }
+                Order::Forget { job, task, attempt } => {
+                    let key = ((job.to_string(), *task), *attempt);
+                    if self.tasks.get(&key).is_some_and(Held::exited) {
+                        self.tasks.remove(&key);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The lease: without an answer in time, everything is killed and a new session begins.
+    pub fn check_lease(&mut self, times: &Times, now: Micros) {
+        if now.since(self.lease_from) > times.lease {
+            self.tasks.clear();
+            self.session += 1;
+            self.seq = 0;
+            self.lease_from = now;
+            self.waiting = None;
+            self.changed = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/saltpitch-testkit/src/world.rs
@@ -0,0 +1,1095 @@
+//! The whole site in virtual time: nodes, store, cloud, workers, users, and a network that delays,
+//! loses, holds and repeats.
+
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::sync::Arc;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use saltpitch_core::catalog::{Catalog, MachineType, Res};
+use saltpitch_core::cluster::{Cause, Order, Report, TaskState};
+use saltpitch_core::job::{JobSpec, JobState, Kind, Priority};
+use saltpitch_core::leader::{
+    Aim, Config, Effect, Leader, ListedMachine, Objective, Ordered, Outcome, Policy, Rented, Write,
+};
+use saltpitch_core::leadership::{answer_bound, Hearing};
+use saltpitch_core::quota::TeamLimits;
+use saltpitch_core::records::{job_key, JobRecord, LEADER_KEY, TERM_KEY};
+use saltpitch_core::Micros;
+
+use crate::nodes::Node;
+use crate::rules;
+use crate::store::Store;
+use crate::workers::{Held, Worker};
+
+/// The times that the protocol's settings give.
+#[derive(Clone, Debug)]
+pub struct Times {
+    pub report: Micros,
+    pub lease: Micros,
+    pub gang_wait: Micros,
+    pub gang_peer: Micros,
+    pub cancel: Micros,
+}
+
+/// Which troubles a history may have; each is drawn from the seed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    pub crashes: bool,
+    pub cuts: bool,
+    pub outages: bool,
+    pub machines: bool,
+    pub losses: bool,
+}
+
+impl Faults {
+    pub fn all() -> Faults {
+        Faults {
+            crashes: true,
+            cuts: true,
+            outages: true,
+            machines: true,
+            losses: true,
+        }
+    }
+}
+
+pub struct UserJob {
+    pub spec: JobSpec,
+    pub accepted: bool,
+    pub cancelled_at: Option<Micros>,
+}
+
+type Action = Box<dyn FnOnce(&mut World)>;
+
+struct Event {
+    at: Micros,
+    no: u64,
+    action: Action,
+}
+
+impl PartialEq for Event {
+    fn eq(&self, o: &Event) -> bool {
+        self.no == o.no
+    }
+}
+impl Eq for Event {}
+impl PartialOrd for Event {
+    fn partial_cmp(&self, o: &Event) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(o))
+    }
+}
+impl Ord for Event {
+    fn cmp(&self, o: &Event) -> std::cmp::Ordering {
+        (o.at, o.no).cmp(&(self.at, self.no))
+    }
+}
+
+pub struct World {
+    pub now: Micros,
+    pub times: Times,
+    pub teams: Vec<TeamLimits>,
+    pub store: Store,
+    pub nodes: Vec<Node>,
+    pub workers: BTreeMap<String, Worker>,
+    pub jobs: BTreeMap<String, UserJob>,
+    /// Tasks whose result is kept.
+    pub done: BTreeMap<String, BTreeSet<u32>>,
+    pub faults: Faults,
+    pub started: u64,
+    cfg: Config,
+    catalog: Arc<Catalog>,
+    requests: BTreeMap<String, Vec<String>>,
+    next_machine: u32,
+    rng: SmallRng,
+    queue: BinaryHeap<Event>,
+    next_event: u64,
+    next_tick: Micros,
+    quiet_from: Micros,
+}
+
+const TICK: Micros = Micros::from_millis(100);
+
+fn settings(times: &Times, teams: &[TeamLimits]) -> Config {
+    Config {
+        report: times.report,
+        lease: times.lease,
+        gang_wait: times.gang_wait,
+        gang_peer: times.gang_peer,
+        cancel: times.cancel,
+        list_lag: Micros::from_secs(6),
+        txn_ops: 8,
+        txn_bytes: 50_000,
+        teams: teams.to_vec(),
+        objectives: vec![Objective {
+            class: "web".to_owned(),
+            aim: Aim::Wait(Micros::from_secs(5)),
+        }],
+        guarantee_within: Micros::from_secs(15),
+        policy: Policy::default(),
+    }
+}
+
+fn machine_types() -> Catalog {
+    let kind = |name: &str, cpu: u64, gpu: u64, price: u64| MachineType {
+        name: name.to_owned(),
+        size: Res {
+            cpu: cpu * 1_000,
+            gpu: gpu * 1_000,
+            mem: cpu * 4_000,
+        },
+        cache_mb: 50_000,
+        fetch_mb_per_s: 500,
+        price,
+        spot_price: price / 3,
+        boot: Micros::from_secs(10),
+        zones: vec!["east".to_owned(), "west".to_owned()],
+    };
+    Catalog {
+        types: vec![kind("plain", 8, 0, 1_000), kind("accel", 8, 2, 6_000)],
+    }
+}
+
+impl World {
+    /// A site with three nodes and no machines. From `quiet_from` on no new trouble begins.
+    pub fn new(seed: u64, faults: Faults, quiet_from: Micros) -> World {
+        let times = Times {
+            report: Micros::from_secs(2),
+            lease: Micros::from_secs(14),
+            gang_wait: Micros::from_secs(30),
+            gang_peer: Micros::from_secs(5),
+            cancel: Micros::from_secs(44),
+        };
+        let team = |name: &str| TeamLimits {
+            name: name.to_owned(),
+            cpu: 12_000,
+            gpu: 2_000,
+            cpu_max: 40_000,
+            gpu_max: 6_000,
+        };
+        let teams = vec![team("red"), team("blue")];
+        let nodes = [("n0", "east"), ("n1", "west"), ("n2", "east")];
+        World {
+            now: Micros::from_secs(60),
+            cfg: settings(&times, &teams),
+            times,
+            teams,
+            store: Store::default(),
+            nodes: nodes.iter().map(|(n, z)| Node::new(n, z)).collect(),
+            workers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            done: BTreeMap::new(),
+            faults,
+            started: 0,
+            catalog: Arc::new(machine_types()),
+            requests: BTreeMap::new(),
+            next_machine: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            next_event: 0,
+            next_tick: Micros::ZERO,
+            quiet_from: quiet_from.plus(Micros::from_secs(60)),
+        }
+    }
+
+    pub fn luck(&mut self, n: u64) -> u64 {
+        self.rng.random_range(0..n.max(1))
+    }
+
+    fn after(&mut self, wait: Micros, action: impl FnOnce(&mut World) + 'static) {
+        self.next_event += 1;
+        self.queue.push(Event {
+            at: self.now.plus(wait),
+            no: self.next_event,
+            action: Box::new(action),
+        });
+    }
+
+    fn delay(&mut self) -> Micros {
+        Micros::from_millis(1 + self.luck(20))
+    }
+
+    /// Plays on until `until` and checks the rules after each step.
+    pub fn run(&mut self, until: Micros) -> Result<(), String> {
+        let until = until.plus(Micros::from_secs(60));
+        while self.now < until {
+            self.step()
+                .map_err(|e| format!("at {:.1} s: {e}", self.now.as_secs_f64() - 60.0))?;
+        }
+        Ok(())
+    }
+
+    /// The next event, or the next tick of the site's clocks; then the rules.
+    pub fn step(&mut self) -> Result<(), String> {
+        let event = self.queue.peek().map(|e| e.at);
+        match event {
+            Some(at) if at <= self.next_tick => {
+                self.now = self.now.max(at);
+                if let Some(e) = self.queue.pop() {
+                    (e.action)(self);
+                }
+            }
+            _ => {
+                self.now = self.now.max(self.next_tick);
+                self.next_tick = self.now.plus(TICK);
+                self.tick();
+            }
+        }
+        rules::check(self)
+    }
+
+    fn tick(&mut self) {
+        self.store.tick(self.now);
+        self.troubles();
+        for n in 0..self.nodes.len() {
+            self.node_tick(n);
+        }
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            self.worker_tick(&name);
+        }
+        self.gangs();
+    }
+
+    // Troubles.
+
+    fn chance(&mut self, on: bool, per_s: f64) -> bool {
+        on && self.now < self.quiet_from && self.rng.random_bool(per_s * 0.1)
+    }
+
+    fn troubles(&mut self) {
+        let f = self.faults;
+        if self.chance(f.crashes, 0.02) {
+            let n = self.luck(3) as usize;
+            self.crash(n);
+        }
+        if self.chance(f.crashes, 0.004) {
+            for n in 0..3 {
+                self.crash(n);
+            }
+        }
+        if self.chance(f.cuts, 0.02) {
+            let n = self.luck(3) as usize;
+            let until = self.now.plus(Micros::from_secs(3 + self.luck(40)));
+            match self.luck(3) {
+                0 => self.nodes[n].no_store_until = until,
+                1 => self.nodes[n].no_workers_until = until,
+                _ => {
+                    self.nodes[n].no_store_until = until;
+                    self.nodes[n].no_workers_until = until;
+                }
+            }
+        }
+        if self.chance(f.outages, 0.01) {
+            self.store.down = true;
+            let wait = Micros::from_secs(2 + self.luck(25));
+            self.after(wait, |w| w.store.down = false);
+        }
+        if self.chance(f.machines, 0.05) && !self.workers.is_empty() {
+            let at = self.luck(self.workers.len() as u64) as usize;
+            let (kind, wait) = (self.luck(3), self.luck(25));
+            let now = self.now;
+            if let Some(m) = self.workers.values_mut().nth(at) {
+                match kind {
+                    0 => m.gone = true,
+                    1 => m.hung_until = now.plus(Micros::from_secs(1 + wait)),
+                    _ if m.spot => {
+                        m.notice = Some(Micros::from_secs(8));
+                        m.changed = true;
+                        let name = m.name.clone();
+                        self.after(Micros::from_secs(8), move |w| {
+                            if let Some(m) = w.workers.get_mut(&name) {
+                                m.gone = true;
+                            }
+                        });
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// Ends a node's process; it is back after a while, now and then at once.
+    pub fn crash(&mut self, n: usize) {
+        let wait = if self.luck(3) == 0 {
+            Micros::from_millis(200)
+        } else {
+            Micros::from_secs(5)
+        };
+        let up_at = self.now.plus(wait);
+        self.nodes[n].crash(up_at);
+    }
+
+    // Nodes.
+
+    fn node_tick(&mut self, n: usize) {
+        let now = self.now;
+        if !self.nodes[n].is_up(now) {
+            return;
+        }
+        let reaches = self.nodes[n].reaches_store(&self.store, now);
+        if reaches && now.0 % 200_000 < TICK.0 {
+            let node = &mut self.nodes[n];
+            node.follow(&self.store, now);
+            if !node.announced {
+                node.announce(&mut self.store);
+                node.follow(&self.store, now);
+            }
+        }
+        if let Some(hold) = self.nodes[n].hold {
+            if now.0 % 600_000 < TICK.0 {
+                self.renew(n, hold, reaches);
+            }
+            if self.deaf(n) {
+                self.resign(n, reaches);
+            }
+        } else if reaches && self.nodes[n].announced && now >= self.nodes[n].shy_until {
+            let (cfg, catalog) = (self.cfg.clone(), self.catalog.clone());
+            if self.rng.random_bool(0.3) {
+                self.nodes[n].elect(&mut self.store, &cfg, &catalog, now);
+            }
+        }
+        self.poll(n);
+        if self.nodes[n].leader.is_some() && now.0 % 3_000_000 < TICK.0 {
+            self.list(n);
+        }
+    }
+
+    fn renew(&mut self, n: usize, hold: u64, reaches: bool) {
+        let answer = if reaches {
+            self.store.touch(hold, self.now)
+        } else {
+            None
+        };
+        let bound = answer_bound(self.times.cancel, self.times.lease);
+        match answer {
+            Some(true) => self.nodes[n].answers_until = self.now.plus(bound),
+            Some(false) => self.nodes[n].depose(),
+            None => {}
+        }
+    }
+
+    fn deaf(&mut self, n: usize) -> bool {
+        let now = self.now;
+        let node = &mut self.nodes[n];
+        let Some((known, heard)) = node.leader.as_ref().map(|l| l.heard(now)) else {
+            return false;
+        };
+        let cut = now < node.no_workers_until;
+        let hearing = Hearing {
+            known,
+            heard,
+            knocks: if cut { known } else { 0 },
+            peers: 2,
+            others: 2,
+        };
+        if !hearing.deaf() {
+            node.deaf_since = None;
+            return false;
+        }
+        let since = *node.deaf_since.get_or_insert(now);
+        now.since(since) > Micros::from_secs(3)
+    }
+
+    fn resign(&mut self, n: usize, reaches: bool) {
+        let node = &mut self.nodes[n];
+        let Some(rev) = node.leader.as_ref().map(Leader::term_rev) else {
+            return;
+        };
+        node.depose();
+        node.shy_until = self.now.plus(Micros::from_secs(30));
+        node.announced = false;
+        if reaches {
+            let write = Write {
+                key: LEADER_KEY.to_owned(),
+                value: None,
+            };
+            let _ = self
+                .store
+                .txn(&[(TERM_KEY.to_owned(), rev)], &[write], None);
+        }
+    }
+
+    fn poll(&mut self, n: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[n];
+        if !node.may_answer(now) {
+            return;
+        }
+        let epoch = node.epoch;
+        let Some(leader) = node.leader.as_mut() else {
+            return;
+        };
+        for e in leader.poll(now) {
+            self.carry_out(n, epoch, e);
+        }
+    }
+
+    /// Gives an answer to the leader that asked, if it still leads; then runs its loops.
+    fn tell(&mut self, n: usize, epoch: u64, f: impl FnOnce(&mut Leader, Micros)) {
+        let now = self.now;
+        let node = &mut self.nodes[n];
+        if node.epoch == epoch && node.is_up(now) {
+            if let Some(l) = node.leader.as_mut() {
+                f(l, now);
+                self.poll(n);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, n: usize, epoch: u64, e: Effect) {
+        match e {
+            Effect::Txn { when, writes } => self.send_txn(n, epoch, when, writes),
+            Effect::Refresh => {
+                let d = self.delay();
+                self.after(d, move |w| {
+                    let now = w.now;
+                    let ok = w.nodes[n].reaches_store(&w.store, now);
+                    if w.nodes[n].epoch != epoch || !w.nodes[n].is_up(now) {
+                        return;
+                    }
+                    if ok {
+                        w.nodes[n].follow(&w.store, now);
+                    }
+                    let node = &mut w.nodes[n];
+                    if let Some(l) = node.leader.as_mut() {
+                        l.refreshed(ok.then_some(&node.view), now, now);
+                    }
+                    w.poll(n);
+                });
+            }
+            Effect::Orders {
+                machine,
+                session,
+                token,
+                orders,
+                ..
+            } => self.send_orders(n, epoch, machine, session, token, orders),
+            Effect::Probe { machine, .. } => {
+                let d = self.delay();
+                self.after(d, move |w| {
+                    if w.now < w.nodes[n].no_workers_until {
+                        return;
+                    }
+                    let now = w.now;
+                    let r = w
+                        .workers
+                        .get_mut(&*machine)
+                        .filter(|m| m.is_up(now))
+                        .map(Worker::report);
+                    if let Some(r) = r {
+                        let d = w.delay();
+                        w.after(d, move |w| {
+                            w.tell(n, epoch, |l, now| l.heard_directly(r, now));
+                        });
+                    }
+                });
+            }
+            Effect::Rent {
+                request,
+                type_name,
+                zone,
+                spot,
+                count,
+            } => {
+                let lost = self.faults.losses && self.luck(8) == 0;
+                let d = self.delay();
+                self.after(d, move |w| {
+                    let end = w.rent(&request, &type_name, &zone, spot, count);
+                    let (end, wait) = if lost {
+                        (Rented::Unknown, Micros::from_secs(4))
+                    } else {
+                        (end, Micros::from_millis(100))
+                    };
+                    w.after(wait, move |w| {
+                        w.tell(n, epoch, |l, now| l.rented(&request, end, now));
+                    });
+                });
+            }
+            Effect::Return { names } => {
+                let late = Micros::from_millis(100 + self.luck(3_000));
+                self.after(late, move |w| {
+                    for name in &names {
+                        if let Some(m) = w.workers.get_mut(&**name) {
+                            m.gone = true;
+                        }
+                    }
+                    w.tell(n, epoch, |l, now| l.returned(&names, now));
+                });
+            }
+            Effect::RaiseTerm => {
+                let node = &self.nodes[n];
+                let Some((term, rev)) = node.leader.as_ref().map(|l| (l.term, l.term_rev())) else {
+                    return;
+                };
+                let mut rec = node.view.term.1.clone();
+                rec.term = term + 1;
+                let write = Write {
+                    key: TERM_KEY.to_owned(),
+                    value: serde_json::to_string(&rec).ok(),
+                };
+                let reaches = node.reaches_store(&self.store, self.now);
+                let done = if reaches {
+                    self.store
+                        .txn(&[(TERM_KEY.to_owned(), rev)], &[write], None)
+                } else {
+                    Outcome::Refused
+                };
+                let d = self.delay();
+                self.after(d, move |w| {
+                    w.tell(n, epoch, |l, _| match done {
+                        Outcome::Done(rev) => l.term_raised(term + 1, rev),
+                        _ => l.raise_failed(),
+                    });
+                });
+            }
+        }
+    }
+
+    /// A transaction may be applied late, and its answer may be lost.
+    fn send_txn(&mut self, n: usize, epoch: u64, when: Vec<(String, u64)>, writes: Vec<Write>) {
+        let cut = self.now < self.nodes[n].no_store_until;
+        if cut {
+            let end = self.nodes[n].no_store_until.since(self.now);
+            self.after(end, move |w| {
+                w.store.txn(&when, &writes, None);
+            });
+            self.after(Micros::from_millis(1_500), move |w| {
+                w.tell(n, epoch, |l, now| l.committed(Outcome::Unknown, now));
+            });
+            return;
+        }
+        let lost = self.faults.losses && self.luck(15) == 0;
+        let late = if lost {
+            self.luck(8_000)
+        } else {
+            self.luck(30)
+        };
+        if lost {
+            self.after(Micros::from_millis(1_500), move |w| {
+                w.tell(n, epoch, |l, now| l.committed(Outcome::Unknown, now));
+            });
+        }
+        self.after(Micros::from_millis(late), move |w| {
+            let done = w.store.txn(&when, &writes, None);
+            if lost {
+                return;
+            }
+            let d = w.delay();
+            w.after(d, move |w| {
+                let deposed =
+                    matches!(&done, Outcome::Failed(k) if k.iter().any(|k| k == TERM_KEY));
+                if deposed && w.nodes[n].epoch == epoch {
+                    w.nodes[n].depose();
+                }
+                w.tell(n, epoch, |l, now| l.committed(done, now));
+            });
+        });
+    }
+
+    /// Direct orders may be executed long after the sender gave up.
+    fn send_orders(
+        &mut self,
+        n: usize,
+        epoch: u64,
+        machine: Arc<str>,
+        session: u64,
+        token: u64,
+        orders: Vec<Order>,
+    ) {
+        let starts = orders.iter().any(|o| matches!(o, Order::Start { .. }));
+        let cut = self.nodes[n].no_workers_until.since(self.now);
+        let hung = self
+            .workers
+            .get(&*machine)
+            .map_or(Micros::ZERO, |m| m.hung_until.since(self.now));
+        let lost = self.faults.losses && self.luck(15) == 0;
+        let late = cut.max(hung).plus(if lost {
+            Micros::from_millis(self.luck(20_000))
+        } else {
+            self.delay()
+        });
+        let unanswered = lost || late > Micros::from_millis(1_500);
+        if unanswered {
+            let machine = machine.clone();
+            self.after(Micros::from_millis(1_500), move |w| {
+                w.tell(n, epoch, |l, now| {
+                    l.ordered(&machine, session, token, starts, Ordered::Unknown, now);
+                });
+            });
+        }
+        self.after(late, move |w| {
+            let Some(r) = w.direct(&machine, session, token, &orders) else {
+                return;
+            };
+            if unanswered {
+                return;
+            }
+            let d = w.delay();
+            w.after(d, move |w| {
+                w.tell(n, epoch, |l, now| {
+                    l.ordered(&machine, session, token, starts, r, now);
+                });
+            });
+        });
+    }
+
+    fn direct(
+        &mut self,
+        machine: &str,
+        session: u64,
+        token: u64,
+        orders: &[Order],
+    ) -> Option<Ordered> {
+        let now = self.now;
+        let m = self.workers.get_mut(machine).filter(|m| m.is_up(now))?;
+        if m.session != session || !m.take_token(token) {
+            return Some(Ordered::Stale(m.report()));
+        }
+        self.execute(machine, orders);
+        let m = self.workers.get_mut(machine)?;
+        Some(Ordered::Done(m.report()))
+    }
+
+    fn execute(&mut self, machine: &str, orders: &[Order]) {
+        let now = self.now;
+        let World {
+            workers, jobs, rng, ..
+        } = self;
+        let Some(m) = workers.get_mut(machine) else {
+            return;
+        };
+        let spec_of = |id: &str| jobs.get(id).map(|j| j.spec.clone());
+        m.execute(
+            orders,
+            &spec_of,
+            &mut |n| rng.random_range(0..n.max(1)),
+            now,
+        );
+    }
+
+    // Cloud.
+
+    fn rent(&mut self, request: &str, type_name: &str, zone: &str, spot: bool, n: u32) -> Rented {
+        if let Some(names) = self.requests.get(request) {
+            return Rented::Machines(names.clone());
+        }
+        let there = self
+            .workers
+            .values()
+            .filter(|m| !m.gone && m.type_name == type_name && m.zone == zone && m.spot == spot)
+            .count() as u32;
+        let n = n.min(3u32.saturating_sub(there));
+        if n == 0 {
+            return Rented::NoCapacity;
+        }
+        let size = self
+            .catalog
+            .get(type_name)
+            .map(|t| t.size)
+            .unwrap_or_default();
+        let mut names = Vec::new();
+        for _ in 0..n {
+            self.next_machine += 1;
+            let name = format!("vm-{:06}", self.next_machine);
+            let boot = Micros::from_secs(1 + self.luck(14));
+            let target = self.luck(3) as usize;
+            self.workers.insert(
+                name.clone(),
+                Worker {
+                    name: name.clone(),
+                    type_name: type_name.to_owned(),
+                    zone: zone.to_owned(),
+                    spot,
+                    size,
+                    boots_at: self.now.plus(boot),
+                    gone: false,
+                    hung_until: Micros::ZERO,
+                    session: 1,
+                    seq: 0,
+                    token: 0,
+                    lease_from: self.now.plus(boot),
+                    notice: None,
+                    tasks: BTreeMap::new(),
+                    target,
+                    next_report: Micros::ZERO,
+                    waiting: None,
+                    changed: false,
+                },
+            );
+            names.push(name);
+        }
+        self.requests.insert(request.to_owned(), names.clone());
+        Rented::Machines(names)
+    }
+
+    fn list(&mut self, n: usize) {
+        let list: Vec<ListedMachine> = self
+            .workers
+            .values()
+            .filter(|m| !m.gone)
+            .map(|m| ListedMachine {
+                name: m.name.clone(),
+                addr: m.name.clone(),
+                type_name: m.type_name.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                failed: false,
+                age: Micros::from_secs(10),
+            })
+            .collect();
+        let epoch = self.nodes[n].epoch;
+        // The list lags.
+        let lag = Micros::from_secs(self.luck(12));
+        self.after(lag, move |w| {
+            let gone = w.nodes[n].view.gone.clone();
+            w.tell(n, epoch, |l, now| {
+                l.listed(&list, &|x| gone.contains(x), now)
+            });
+        });
+    }
+
+    // Workers.
+
+    fn worker_tick(&mut self, name: &str) {
+        let now = self.now;
+        let times = self.times.clone();
+        let Some(m) = self.workers.get_mut(name) else {
+            return;
+        };
+        if !m.is_up(now) {
+            return;
+        }
+        m.check_lease(&times, now);
+        let mut done = Vec::new();
+        for ((id, _), h) in m.tasks.iter_mut() {
+            let Some(job) = self.jobs.get(&id.0) else {
+                continue;
+            };
+            if advance(h, &job.spec, now) {
+                done.push(id.clone());
+            }
+            if matches!(h.state, TaskState::Running | TaskState::Waiting) && h.until <= now {
+                m.changed = true;
+            }
+        }
+        if m.waiting
+            .is_some_and(|w| now.since(w.1) > Micros::from_secs(4))
+        {
+            m.waiting = None;
+            m.target = (m.target + 1) % 3;
+            m.next_report = now.plus(Micros::from_secs(1));
+        }
+        let due = now >= m.next_report
+            || (m.changed
+                && now.plus(times.report).since(m.next_report) > Micros::from_millis(500));
+        let sends = due && m.waiting.is_none();
+        if !done.is_empty() {
+            m.changed = true;
+        }
+        let report = sends.then(|| {
+            m.changed = false;
+            m.next_report = now.plus(times.report);
+            let r = m.report();
+            m.waiting = Some((r.seq, now));
+            (r, m.target)
+        });
+        for (id, task) in done {
+            self.done.entry(id).or_default().insert(task);
+        }
+        if let Some((r, target)) = report {
+            // A cut holds packets and delivers them when it ends.
+            let held = self.nodes[target].no_workers_until.since(now);
+            let wait = held.plus(self.delay());
+            self.after(wait, move |w| w.deliver(target, r));
+        }
+    }
+
+    fn deliver(&mut self, n: usize, r: Report) {
+        let now = self.now;
+        if !self.nodes[n].is_up(now) {
+            return;
+        }
+        let (name, session, seq) = (r.machine.clone(), r.session, r.seq);
+        let node = &mut self.nodes[n];
+        let gone = node.view.gone.contains(&name);
+        let may = node.may_answer(now);
+        let answer = match node.leader.as_mut().filter(|_| may) {
+            Some(l) => {
+                let term = l.term;
+                match l.report(r, gone, now) {
+                    Ok(orders) => Some((term, orders)),
+                    Err(_) => None,
+                }
+            }
+            None => None,
+        };
+        self.poll(n);
+        let leader = self
+            .nodes
+            .iter()
+            .position(|x| x.may_answer(now))
+            .filter(|l| *l != n);
+        let d = self.delay();
+        self.after(d, move |w| w.answered(&name, session, seq, answer, leader));
+    }
+
+    fn answered(
+        &mut self,
+        name: &str,
+        session: u64,
+        seq: u64,
+        answer: Option<(u64, Vec<Order>)>,
+        leader: Option<usize>,
+    ) {
+        let now = self.now;
+        let Some(m) = self.workers.get_mut(name).filter(|m| m.is_up(now)) else {
+            return;
+        };
+        let Some((waiting, sent)) = m.waiting.filter(|w| w.0 == seq && m.session == session) else {
+            return;
+        };
+        debug_assert_eq!(waiting, seq);
+        m.waiting = None;
+        match answer {
+            Some((token, orders)) => {
+                if m.take_token(token) {
+                    m.lease_from = sent;
+                    self.execute(name, &orders);
+                }
+            }
+            None => {
+                m.target = leader.unwrap_or((m.target + 1) % 3);
+                m.next_report = now.plus(Micros::from_millis(500));
+            }
+        }
+    }
+
+    /// Gangs start when all members of an attempt wait, and end together.
+    fn gangs(&mut self) {
+        let now = self.now;
+        let ids: Vec<String> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.spec.kind == Kind::Gang)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            let n = self.jobs[&id].spec.tasks;
+            let mut counts: BTreeMap<u32, (u32, u32, u32)> = BTreeMap::new();
+            for h in self.members(&id) {
+                let c = counts.entry(h.attempt).or_default();
+                match h.state {
+                    TaskState::Waiting => c.0 += 1,
+                    TaskState::Running => c.1 += 1,
+                    TaskState::Exited {
+                        cause: Cause::Done, ..
+                    } => c.2 += 1,
+                    _ => {}
+                }
+            }
+            let (gang_wait, gang_peer) = (self.times.gang_wait, self.times.gang_peer);
+            let mut finished = false;
+            for h in self.members(&id) {
+                let (waiting, running, done) = counts[&h.attempt];
+                match h.state {
+                    TaskState::Waiting if waiting == n => {
+                        h.state = TaskState::Running;
+                        h.until = now.plus(h.run);
+                    }
+                    TaskState::Waiting if now.since(h.until) > gang_wait => {
+                        h.state = TaskState::Exited {
+                            cause: Cause::Incomplete,
+                            saved: false,
+                        };
+                    }
+                    TaskState::Running if running == n && h.until <= now => finished = true,
+                    TaskState::Running
+                        if running + done < n && now.plus(h.run).since(h.until) > gang_peer =>
+                    {
+                        h.state = TaskState::Exited {
+                            cause: Cause::Peers,
+                            saved: false,
+                        };
+                    }
+                    _ => {}
+                }
+            }
+            if finished {
+                for h in self.members(&id) {
+                    if h.state == TaskState::Running {
+                        h.state = TaskState::Exited {
+                            cause: Cause::Done,
+                            saved: false,
+                        };
+                    }
+                }
+                self.done.entry(id.clone()).or_default().extend(0..n);
+                for m in self.workers.values_mut() {
+                    m.changed = true;
+                }
+            }
+        }
+    }
+
+    fn members<'a>(&'a mut self, id: &'a str) -> impl Iterator<Item = &'a mut Held> {
+        let now = self.now;
+        self.workers
+            .values_mut()
+            .filter(move |m| m.is_up(now))
+            .flat_map(|m| m.tasks.iter_mut())
+            .filter(move |((t, _), _)| t.0 == id)
+            .map(|(_, h)| h)
+    }
+
+    // Users.
+
+    /// Submits a job through whichever node has the store; false: nobody has.
+    pub fn submit(&mut self, id: &str, spec: JobSpec) -> bool {
+        let known = self.jobs.entry(id.to_owned()).or_insert(UserJob {
+            spec: spec.clone(),
+            accepted: false,
+            cancelled_at: None,
+        });
+        let record = JobRecord {
+            state: JobState::Active,
+            submitted: self.now,
+            spec: Some(Arc::new(spec)),
+        };
+        let key = job_key(id);
+        let write = Write {
+            key: key.clone(),
+            value: serde_json::to_string(&record).ok(),
+        };
+        match self.store.txn(&[(key, 0)], &[write], None) {
+            Outcome::Done(_) | Outcome::Failed(_) => {
+                known.accepted = true;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Cancels a job as a node would: compare and set on its record. True: it is cancelled.
+    pub fn cancel(&mut self, id: &str) -> bool {
+        let key = job_key(id);
+        let Some(entry) = self.store.keys.get(&key).cloned() else {
+            return false;
+        };
+        let Ok(mut rec) = serde_json::from_str::<JobRecord>(&entry.value) else {
+            return false;
+        };
+        if rec.state != JobState::Active {
+            return rec.state == JobState::Cancelled;
+        }
+        rec.state = JobState::Cancelled;
+        let write = Write {
+            key: key.clone(),
+            value: serde_json::to_string(&rec).ok(),
+        };
+        let done = self.store.txn(&[(key, entry.rev)], &[write], None);
+        let ok = matches!(done, Outcome::Done(_));
+        if ok {
+            if let Some(j) = self.jobs.get_mut(id) {
+                j.cancelled_at = Some(self.now);
+            }
+        }
+        ok
+    }
+
+    /// A job drawn from the seed.
+    pub fn draw_job(&mut self) -> JobSpec {
+        let pick = self.luck(10);
+        let (class, kind, priority, tasks) = match pick {
+            0..=2 => ("web", Kind::Service, Priority::Production, 1 + self.luck(4)),
+            3..=6 => ("batch", Kind::Array, Priority::Normal, 1 + self.luck(12)),
+            _ => ("train", Kind::Gang, Priority::High, 1 + self.luck(3)),
+        };
+        let gang = kind == Kind::Gang;
+        JobSpec {
+            class: class.to_owned(),
+            team: if self.luck(2) == 0 { "red" } else { "blue" }.to_owned(),
+            kind,
+            priority,
+            tasks: tasks as u32,
+            need: Res {
+                cpu: 1_000 + 1_000 * self.luck(3),
+                gpu: if gang { 1_000 } else { 0 },
+                mem: 2_000,
+            },
+            types: None,
+            zone: (self.luck(8) == 0).then(|| "east".to_owned()),
+            one_zone: gang && self.luck(2) == 0,
+            spread: kind == Kind::Service,
+            spot: kind != Kind::Service,
+            image: format!("img-{}", self.rng.random_range(0..3)),
+            image_mb: 800,
+            estimate: if kind == Kind::Service {
+                Micros::ZERO
+            } else {
+                Micros::from_secs(3 + self.luck(15))
+            },
+            checkpoint: Micros::from_secs(if gang { 5 } else { 0 }),
+            save: Micros::from_secs(if gang { 2 } else { 0 }),
+            deadline: None,
+        }
+    }
+
+    /// Whether the store calls this job done.
+    pub fn is_done(&self, id: &str) -> bool {
+        self.store
+            .keys
+            .get(&job_key(id))
+            .and_then(|e| serde_json::from_str::<JobRecord>(&e.value).ok())
+            .is_some_and(|r| r.state == JobState::Done)
+    }
+
+    /// The tasks of a job that are on machines now.
+    pub fn running(&self, id: &str) -> usize {
+        self.workers
+            .values()
+            .filter(|m| !m.gone)
+            .flat_map(|m| m.tasks.iter())
+            .filter(|((t, _), h)| t.0 == id && h.on())
+            .count()
+    }
+
+    pub fn heal(&mut self) {
+        self.faults = Faults::default();
+        self.store.down = false;
+    }
+}
+
+/// Moves a task on by itself; true when it has just completed.
+fn advance(h: &mut Held, spec: &JobSpec, now: Micros) -> bool {
+    if now < h.until {
+        return false;
+    }
+    match h.state {
+        TaskState::Fetching if spec.kind == Kind::Gang => {
+            h.state = TaskState::Waiting;
+            h.until = now;
+            false
+        }
+        TaskState::Fetching => {
+            h.state = TaskState::Running;
+            h.until = now.plus(h.run);
+            false
+        }
+        TaskState::Running if spec.kind == Kind::Array => {
+            h.state = TaskState::Exited {
+                cause: Cause::Done,
+                saved: false,
+            };
+            true
+        }
+        TaskState::Saving => {
+            h.state = TaskState::Exited {
+                cause: Cause::Stopped,
+                saved: true,
+            };
+            false
+        }
+        _ => false,
+    }
+}
