--- a/crates/saltpitch-testkit/src/world.rs
+++ b/crates/saltpitch-testkit/src/world.rs
@@ -757,10 +757,14 @@
         let Some(m) = self.workers.get_mut(name) else {
             return;
         };
-        if !m.is_up(now) {
+        if m.gone || now < m.boots_at {
             return;
         }
+        // A machine that hangs for longer than its lease has lost its tasks when it resumes.
         m.check_lease(&times, now);
+        if !m.is_up(now) {
+            return;
+        }
         let mut done = Vec::new();
         for ((id, _), h) in m.tasks.iter_mut() {
             let Some(job) = self.jobs.get(&id.0) else {
