--- a/crates/saltpitch-core/src/leader/capacity.rs
+++ b/crates/saltpitch-core/src/leader/capacity.rs
@@ -53,7 +53,8 @@
     /// Rents what the waiting tasks need beyond what is on its way; returns what stands idle.
     pub(super) fn plan_capacity(&mut self, now: Micros) {
         let mut bins = self.coming(now);
-        let mut batch_room = self.batch_room(now);
+        let room = self.batch_room(now);
+        let mut work = self.batch_work();
         let mut team_left: HashMap<String, Res> = HashMap::new();
         for w in self.waiting(now) {
             let Some(job) = self.jobs.get(&w.no) else {
@@ -75,7 +76,7 @@
             }
             *claimed = claimed.plus(&spec.need.times(want));
             if spec.kind == Kind::Array {
-                want = self.unserved(&spec, want, &mut batch_room);
+                want = self.unserved(&spec, want, w.slack, room, &mut work);
             }
             self.reserve(w.no, &spec, want, &mut bins, now);
         }
@@ -119,9 +120,8 @@
         bins
     }
 
-    /// Processor time that the machines already there give to batch work within the drain time.
+    /// Processors that the machines already there give to batch work.
     fn batch_room(&self, now: Micros) -> u64 {
-        let horizon = self.cfg.policy.drain.0 / 1_000_000;
         let quiet = self.quiet();
         let mut room = 0u64;
         for m in self.machines.values().filter(|m| m.takes_tasks(now, quiet)) {
@@ -132,29 +132,45 @@
                 .filter(|j| j.spec.kind != Kind::Array)
                 .map(|j| j.spec.need.cpu)
                 .sum();
-            if m.kind.size.gpu == 0 || !self.contested_for_any(&m.kind.size) {
-                room += m.kind.size.cpu.saturating_sub(services) * horizon;
+            if !self.contested_for_any(&m.kind.size) {
+                room += m.kind.size.cpu.saturating_sub(services);
             }
         }
-        for j in self.jobs.values().filter(|j| j.spec.kind == Kind::Array) {
-            let est = self.estimate(&j.spec).0 / 1_000_000;
-            room = room.saturating_sub(u64::from(j.placed) * j.spec.need.cpu * est / 2);
-        }
         room
     }
 
+    /// Batch work on its way: what is running has half of its time left on average.
+    fn batch_work(&self) -> u64 {
+        self.jobs
+            .values()
+            .filter(|j| j.spec.kind == Kind::Array)
+            .map(|j| u64::from(j.placed) * j.spec.need.cpu * self.estimate(&j.spec).0 / 2_000_000)
+            .sum()
+    }
+
     fn contested_for_any(&self, size: &Res) -> bool {
         let wanted: Vec<Res> = self.gpu_needs.values().copied().collect();
         crate::placement::contested(size, &wanted)
     }
 
-    /// How many of `want` tasks the machines already there won't get through in time.
-    fn unserved(&self, spec: &JobSpec, want: u64, room: &mut u64) -> u64 {
-        let est = (self.estimate(spec).0 / 1_000_000).max(1);
-        let each = (spec.need.cpu * est).max(1);
-        let served = (*room / each).min(want);
-        *room -= served * each;
-        want - served
+    /// How many of `want` tasks the machines already there won't get to in time, with `work` to be
+    /// done before them on `room` processors.
+    fn unserved(
+        &self,
+        spec: &JobSpec,
+        want: u64,
+        slack: Option<Micros>,
+        room: u64,
+        work: &mut u64,
+    ) -> u64 {
+        let drain = self.cfg.policy.drain;
+        let time = slack.map_or(drain.times(3.0), |s| {
+            s.max(drain.times(0.5)).min(drain.times(3.0))
+        });
+        let each = (spec.need.cpu * self.estimate(spec).0 / 1_000_000).max(1);
+        let can = (room * time.0 / 1_000_000).saturating_sub(*work);
+        *work += want * each;
+        want - (can / each).min(want)
     }
 
     /// Puts `want` tasks into the room to come, adding machines to rent where that is short.
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -18,6 +18,8 @@
 pub(super) struct Waiting {
     pub no: JobNo,
     pub guaranteed: bool,
+    /// Time left until it has to start; none: it is late, or nobody said when.
+    pub slack: Option<Micros>,
 }
 
 impl Leader {
@@ -55,12 +57,14 @@
             let high = j.spec.priority < Priority::High;
             // When not all can be served in time, the smallest first keeps the most aims.
             let left = j.idle.len() as u64 * self.estimate(&j.spec).0 / 1_000 * j.spec.need.cpu;
-            let key = (rank, high, left, *no);
+            let relaxed = due.is_some_and(|d| d.since(now) > Micros::from_secs(120));
+            let key = (rank, high, relaxed, left, *no);
             list.push((
                 key,
                 Waiting {
                     no: *no,
                     guaranteed,
+                    slack: due.map(|d| d.since(now)),
                 },
             ));
         }
