--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -47,8 +47,9 @@
                 (Priority::Production, _) => 0u8,
                 (_, true) if due.is_some() || young => 1,
                 (Priority::High, _) => 2,
-                _ if due.is_some() => 3,
-                _ => 4,
+                _ if due.is_some_and(|d| d.since(now) <= Micros::from_secs(120)) => 3,
+                _ if due.is_some() => 4,
+                _ => 5,
             };
             ranks.insert(*no, rank);
             if j.idle.is_empty() {
@@ -57,8 +58,7 @@
             let high = j.spec.priority < Priority::High;
             // When not all can be served in time, the smallest first keeps the most aims.
             let left = j.idle.len() as u64 * self.estimate(&j.spec).0 / 1_000 * j.spec.need.cpu;
-            let relaxed = due.is_some_and(|d| d.since(now) > Micros::from_secs(120));
-            let key = (rank, high, relaxed, left, *no);
+            let key = (rank, high, left, *no);
             list.push((
                 key,
                 Waiting {
@@ -323,7 +323,8 @@
         if now.since(job.preempted_at) < Micros::from_secs(2) && job.preempted_at > Micros::ZERO {
             return;
         }
-        if spec.priority < Priority::High && !w.guaranteed {
+        // Lesser work is stopped for work that can still be in time, not for what is late anyway.
+        if spec.priority < Priority::High && !w.guaranteed && w.slack.is_none() {
             return;
         }
         let mut stops: Vec<(JobNo, u32)> = Vec::new();
@@ -398,6 +399,14 @@
                 if !self.may_stop(w, spec, other) {
                     continue;
                 }
+                // A start that is undone soon counts for nothing, and neither does work that
+                // can't be saved: both are only worth it for urgent work and guarantees.
+                let settled = now.since(place.since) > Micros::from_secs(40)
+                    && other.spec.saves()
+                    && place.seen == Seen::Running;
+                if spec.priority < Priority::High && !w.guaranteed && !settled {
+                    continue;
+                }
                 let ran = match place.seen {
                     Seen::Running => now.since(place.running_since.unwrap_or(place.since)),
                     _ => now.since(place.since).times(0.2),
--- a/crates/saltpitch/src/node.rs
+++ b/crates/saltpitch/src/node.rs
@@ -172,6 +172,7 @@
     }
 
     fn apply_one(&self, i: &mut Inner, item: Item) {
+        self.log_outcome(i, &item);
         let change = match &item.value {
             Some(v) => match i.view.put(&item.key, v, item.rev) {
                 Ok(c) => c,
@@ -216,6 +217,28 @@
         }
     }
 
+    /// The leader's log says how long each job took, so that an on-call person finds the late ones.
+    fn log_outcome(&self, i: &Inner, item: &Item) {
+        let Some(id) = item.key.strip_prefix("salt/j/") else {
+            return;
+        };
+        let Some(old) = i.view.jobs.get(id).filter(|_| i.office.leader.is_some()) else {
+            return;
+        };
+        if let (Some(spec), Some(v)) = (&old.record.spec, &item.value) {
+            let took = self.clock.wall().since(old.record.submitted);
+            let deadline = spec.deadline.map_or(0.0, Micros::as_secs_f64);
+            tracing::info!(
+                "{id} ({}, {} tasks of {:.0} s, deadline {deadline:.0} s) after {:.0} s: {}",
+                spec.class,
+                spec.tasks,
+                spec.estimate.as_secs_f64(),
+                took.as_secs_f64(),
+                v.get().get(..12).unwrap_or_default()
+            );
+        }
+    }
+
     /// A newer term ends our office, unless it is one that we raised ourselves.
     fn check_term(&self, i: &mut Inner) {
         let (rev, t) = i.view.term.clone();
