--- a/crates/saltpitch-core/src/cluster.rs
+++ b/crates/saltpitch-core/src/cluster.rs
@@ -119,6 +119,8 @@
     pub orders_out: bool,
     pub orders_after: Micros,
     pub probe_after: Micros,
+    /// Probes without an answer since the machine was last heard.
+    pub probes_failed: u32,
     pub return_after: Micros,
     pub idle_since: Micros,
     /// When a task that needs what this machine is rented for was last here.
@@ -163,6 +165,7 @@
             orders_out: false,
             orders_after: Micros::ZERO,
             probe_after: Micros::ZERO,
+            probes_failed: 0,
             return_after: Micros::ZERO,
             idle_since: now,
             wanted_at: now,
--- a/crates/saltpitch-core/src/leader/capacity.rs
+++ b/crates/saltpitch-core/src/leader/capacity.rs
@@ -378,8 +378,9 @@
             until: now,
             times: 0,
         });
-        r.times = (r.times + 1).min(3);
-        r.until = now.plus(Micros::from_secs(5 << r.times));
+        // Others may give machines back at any time: not left alone for long.
+        r.times = (r.times + 1).min(2);
+        r.until = now.plus(Micros::from_secs(3 << r.times));
     }
 
     /// How long a machine is kept empty.
--- a/crates/saltpitch-core/src/leader/evidence.rs
+++ b/crates/saltpitch-core/src/leader/evidence.rs
@@ -114,6 +114,13 @@
         }
     }
 
+    /// A probe got no answer.
+    pub fn probe_failed(&mut self, name: &str) {
+        if let Some(m) = self.machines.get_mut(name) {
+            m.probes_failed += 1;
+        }
+    }
+
     /// Takes in what a machine says, if it is newer than what is known.
     fn learn(&mut self, name: &Arc<str>, r: Report, by_report: bool, now: Micros) {
         let quiet_news = {
@@ -135,6 +142,7 @@
                 self.dirty_machines.insert(name.clone());
             }
             m.last_heard = now;
+            m.probes_failed = 0;
             m.token = m.token.max(r.token);
             if m.fenced_at.is_none() && m.token >= self.office_term {
                 m.fenced_at = Some(now);
@@ -559,12 +567,13 @@
                 && m.doubt
                     .is_some_and(|d| now.since(d.1) > Micros::from_secs(6));
             let asks = m.phase == Phase::Up || (m.phase == Phase::Unheard && !m.holds.is_empty());
-            let unfenced = m.phase == Phase::Unheard && m.recorded;
+            // Machines that an earlier leader knew; what boots for us will report by itself.
+            let unfenced = m.phase == Phase::Unheard && m.recorded && m.born < self.took_office;
             if (unfenced || (asks && quiet > report.times(1.4)))
                 && now >= m.probe_after
                 && !m.addr.is_empty()
             {
-                let wait = if m.holds.is_empty() { 5 } else { 2 };
+                let wait = if m.phase == Phase::Up { 1 } else { 4 };
                 m.probe_after = now.plus(Micros::from_secs(wait));
                 probes.push((m.name.clone(), m.addr.clone()));
             }
@@ -577,7 +586,10 @@
             if !m.holds.is_empty() && now > base.plus(self.cfg.lease.with_drift()) {
                 over.push(m.name.clone());
             }
-            if m.phase == Phase::Up && quiet > report.times(2.6).plus(Micros::from_secs(1)) {
+            // Two missed reports and two probes without an answer are taken for its end.
+            let unanswered = m.probes_failed >= 2 && quiet > report.times(1.8);
+            let long = quiet > report.times(2.6).plus(Micros::from_secs(1));
+            if m.phase == Phase::Up && (unanswered || long) {
                 silent.push(m.name.clone());
             }
         }
@@ -590,7 +602,7 @@
         for name in over {
             self.lose_all(&name, now);
         }
-        self.return_silent(silent, heard_any, now);
+        self.return_silent(silent, heard_any);
         if doubtful && !self.raise_out {
             self.raise_out = true;
             self.effects.push(Effect::RaiseTerm);
@@ -600,7 +612,7 @@
 
     /// Returning a silent machine fences it sooner than its lease does. Many silent at once look
     /// like a cut, and so does a zone from which nobody is heard: then the lease decides.
-    fn return_silent(&mut self, silent: Vec<Arc<str>>, heard_any: usize, now: Micros) {
+    fn return_silent(&mut self, silent: Vec<Arc<str>>, heard_any: usize) {
         if heard_any == 0 {
             return;
         }
@@ -611,7 +623,13 @@
             let heard_there = self
                 .machines
                 .values()
-                .filter(|o| o.zone == m.zone && o.is_up() && now.since(o.last_heard) < self.quiet())
+                .filter(|o| {
+                    // Heard since this one should have reported: what was heard before says
+                    // nothing of a cut that began in between.
+                    o.zone == m.zone
+                        && o.is_up()
+                        && o.last_heard > m.last_heard.plus(self.cfg.report.times(1.4))
+                })
                 .count();
             let silent_alike = silent
                 .iter()
@@ -621,7 +639,7 @@
             let few = if m.spot {
                 heard_there > 0 || self.open_zones.contains(&*m.zone)
             } else {
-                heard_there >= silent_alike
+                (heard_there > 0 && heard_there * 4 >= silent_alike)
                     || (silent_alike <= 1 && self.open_zones.contains(&*m.zone))
             };
             if few {
@@ -694,7 +712,10 @@
     pub fn returned(&mut self, names: &[Arc<str>], now: Micros) {
         for name in names {
             self.lose_all(name, now);
-            if self.machines.remove(name).is_some() {
+            if let Some(m) = self.machines.remove(name) {
+                // What was given back can be had again.
+                let key = (m.kind.name.clone(), m.zone.to_string(), m.spot);
+                self.refusals.remove(&key);
                 self.dirty_machines.remove(name);
                 self.gone_machines.insert(name.clone());
             }
--- a/crates/saltpitch/src/lead.rs
+++ b/crates/saltpitch/src/lead.rs
@@ -364,7 +364,7 @@
         .filter(|p| {
             i.peers
                 .get(&p.node)
-                .is_some_and(|x| now.since(x.at) < Micros::from_secs(3))
+                .is_some_and(|x| now.since(x.at) < Micros::from_millis(1_500))
         })
         .map(|p| p.zone.clone())
         .collect();
@@ -433,7 +433,7 @@
             let Ok(addr) = addr.parse::<SocketAddr>() else {
                 return;
             };
-            let limit = Duration::from_millis(1_500);
+            let limit = Duration::from_millis(1_000);
             let r = node
                 .http
                 .call(addr, Method::GET, "/show", Vec::new(), limit)
@@ -443,7 +443,10 @@
                     Ok(report) => node.tell(epoch, |l, now| l.heard_directly(report, now)),
                     Err(e) => tracing::error!("{machine}: unreadable report: {e}"),
                 },
-                _ => tracing::debug!("{machine} does not answer"),
+                _ => {
+                    tracing::debug!("{machine} does not answer");
+                    node.tell(epoch, |l, _| l.probe_failed(&machine));
+                }
             }
         }
         Effect::Rent {
