--- a/crates/saltpitch-core/src/leader/capacity.rs
+++ b/crates/saltpitch-core/src/leader/capacity.rs
@@ -379,8 +379,8 @@
             times: 0,
         });
         // Others may give machines back at any time: not left alone for long.
-        r.times = (r.times + 1).min(2);
-        r.until = now.plus(Micros::from_secs(3 << r.times));
+        r.times = (r.times + 1).min(3);
+        r.until = now.plus(Micros::from_secs(5 << r.times));
     }
 
     /// How long a machine is kept empty.
