--- /dev/null
+++ b/crates/saltpitch-core/tests/directed.rs
@@ -0,0 +1,440 @@
+//! One test for each failure found or guarded against, driven through the leader's own interface.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use saltpitch_core::catalog::{Catalog, MachineType, Res};
+use saltpitch_core::cluster::{Cause, Order, Report, SeenTask, TaskState};
+use saltpitch_core::job::{JobSpec, JobState, Kind, Priority};
+use saltpitch_core::leader::{Aim, Config, Effect, Leader, Objective, Ordered, Outcome, Policy};
+use saltpitch_core::quota::TeamLimits;
+use saltpitch_core::records::{
+    chunk_key, job_key, machine_key, ChunkRecord, JobRecord, MachineRecord, PlaceRecord,
+    TermRecord, View, TERM_KEY,
+};
+use saltpitch_core::Micros;
+use serde_json::value::to_raw_value;
+
+fn secs(s: u64) -> Micros {
+    Micros::from_secs(s)
+}
+
+fn config() -> Config {
+    Config {
+        report: secs(2),
+        lease: secs(14),
+        gang_wait: secs(30),
+        gang_peer: secs(5),
+        cancel: secs(44),
+        list_lag: secs(6),
+        txn_ops: 16,
+        txn_bytes: 50_000,
+        teams: ["red", "blue"]
+            .iter()
+            .map(|n| TeamLimits {
+                name: (*n).to_owned(),
+                cpu: 8_000,
+                gpu: 0,
+                cpu_max: 24_000,
+                gpu_max: 0,
+            })
+            .collect(),
+        objectives: vec![Objective {
+            class: "night".to_owned(),
+            aim: Aim::Finished(secs(200)),
+        }],
+        guarantee_within: secs(15),
+        policy: Policy::default(),
+    }
+}
+
+fn catalog() -> Arc<Catalog> {
+    Arc::new(Catalog {
+        types: vec![MachineType {
+            name: "plain".to_owned(),
+            size: Res {
+                cpu: 8_000,
+                gpu: 0,
+                mem: 32_000,
+            },
+            cache_mb: 50_000,
+            fetch_mb_per_s: 500,
+            price: 1_000,
+            spot_price: 300,
+            boot: secs(10),
+            zones: vec!["east".to_owned(), "west".to_owned()],
+        }],
+    })
+}
+
+fn spec(kind: Kind, tasks: u32, cpu: u64) -> JobSpec {
+    JobSpec {
+        class: "night".to_owned(),
+        team: "red".to_owned(),
+        kind,
+        priority: Priority::Normal,
+        tasks,
+        need: Res {
+            cpu: cpu * 1_000,
+            gpu: 0,
+            mem: 1_000,
+        },
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: "img".to_owned(),
+        image_mb: 100,
+        estimate: secs(20),
+        checkpoint: Micros::ZERO,
+        save: Micros::ZERO,
+        deadline: None,
+    }
+}
+
+fn put<T: serde::Serialize>(view: &mut View, key: &str, value: &T, rev: u64) {
+    let raw = to_raw_value(value).expect("json");
+    view.put(key, &raw, rev).expect("a record");
+}
+
+/// A record of a one-task job whose task is placed on `machine`.
+fn put_placed(view: &mut View, machine: &str) {
+    let rec = JobRecord {
+        state: JobState::Active,
+        submitted: secs(900),
+        spec: Some(Arc::new(spec(Kind::Array, 1, 2))),
+    };
+    put(view, &job_key("job-1"), &rec, 3);
+    let chunk = ChunkRecord {
+        attempts: vec![1],
+        done: 0,
+        places: vec![PlaceRecord(0, machine.to_owned(), 1)],
+    };
+    put(view, &chunk_key("job-1", 0), &chunk, 4);
+}
+
+/// A leader with a store that takes every write at once.
+struct Desk {
+    view: View,
+    leader: Leader,
+    now: Micros,
+    rev: u64,
+    orders: Vec<(Arc<str>, Vec<Order>)>,
+    returns: BTreeSet<String>,
+}
+
+impl Desk {
+    fn new(build: impl FnOnce(&mut View), old_silent_at: Micros) -> Desk {
+        let mut view = View::default();
+        let term = TermRecord {
+            term: 5,
+            node: "n0".to_owned(),
+            life: 1,
+            quiet: Micros::ZERO,
+        };
+        put(&mut view, TERM_KEY, &term, 1);
+        build(&mut view);
+        view.rev = 10;
+        let now = secs(1_000);
+        let leader = Leader::new(config(), &view, catalog(), old_silent_at, now, now);
+        Desk {
+            view,
+            leader,
+            now,
+            rev: 10,
+            orders: Vec::new(),
+            returns: BTreeSet::new(),
+        }
+    }
+
+    fn submit(&mut self, id: &str, spec: JobSpec) {
+        self.rev += 1;
+        let rec = JobRecord {
+            state: JobState::Active,
+            submitted: self.now,
+            spec: Some(Arc::new(spec)),
+        };
+        put(&mut self.view, &job_key(id), &rec, self.rev);
+        self.leader.job_changed(&self.view, id, self.now, self.now);
+    }
+
+    /// Lets time pass; transactions succeed, direct orders are lost before they are sent.
+    fn pass(&mut self, wait: Micros) {
+        let end = self.now.plus(wait);
+        while self.now < end {
+            self.now = self.now.plus(Micros::from_millis(100));
+            for e in self.leader.poll(self.now) {
+                match e {
+                    Effect::Txn { .. } => {
+                        self.rev += 1;
+                        self.leader.committed(Outcome::Done(self.rev), self.now);
+                    }
+                    Effect::Orders {
+                        machine,
+                        session,
+                        token,
+                        orders,
+                        ..
+                    } => {
+                        let starts = starts(&orders) > 0;
+                        self.orders.push((machine.clone(), orders));
+                        let end = Ordered::NotSent;
+                        self.leader
+                            .ordered(&machine, session, token, starts, end, self.now);
+                    }
+                    Effect::Return { names } => {
+                        self.returns.extend(names.iter().map(|n| n.to_string()));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, machine: &str, zone: &str, seq: u64, tasks: &[SeenTask]) -> Vec<Order> {
+        self.leader
+            .report(report(machine, zone, seq, tasks), false, self.now)
+            .expect("the report is answered")
+    }
+}
+
+fn report(machine: &str, zone: &str, seq: u64, tasks: &[SeenTask]) -> Report {
+    Report {
+        machine: machine.to_owned(),
+        addr: machine.to_owned(),
+        type_name: "plain".to_owned(),
+        zone: zone.to_owned(),
+        spot: false,
+        session: 1,
+        seq,
+        token: 5,
+        notice: None,
+        tasks: tasks.to_vec(),
+    }
+}
+
+fn seen(job: &str, state: TaskState) -> SeenTask {
+    SeenTask {
+        job: job.to_owned(),
+        task: 0,
+        attempt: 1,
+        state,
+    }
+}
+
+fn starts(orders: &[Order]) -> usize {
+    orders
+        .iter()
+        .filter(|o| matches!(o, Order::Start { .. }))
+        .count()
+}
+
+fn forgets(orders: &[Order]) -> bool {
+    orders.iter().any(|o| matches!(o, Order::Forget { .. }))
+}
+
+const DONE: TaskState = TaskState::Exited {
+    cause: Cause::Done,
+    saved: false,
+};
+
+/// A start in the answer to a report may still be on its way when a direct order has already run
+/// the task to its end. To forget it then would run it a second time.
+#[test]
+fn an_attempt_is_not_forgotten_while_its_start_may_be_under_way() {
+    let mut d = Desk::new(|_| {}, secs(0));
+    d.report("vm-1", "east", 1, &[]);
+    d.submit("job-1", spec(Kind::Array, 1, 2));
+    d.pass(secs(1));
+    assert_eq!(starts(&d.report("vm-1", "east", 2, &[])), 1);
+    // The worker says so in answer to a direct order, before that answer has reached it.
+    let ended = [seen("job-1", DONE)];
+    d.leader
+        .heard_directly(report("vm-1", "east", 3, &ended), d.now);
+    d.orders.clear();
+    d.pass(secs(1));
+    assert!(!d.orders.iter().any(|o| forgets(&o.1)), "{:?}", d.orders);
+    // The next report proves that the answer was taken in or dropped.
+    assert!(forgets(&d.report("vm-1", "east", 4, &ended)));
+}
+
+/// The leader before may answer a worker up to its bound: its lease counts from then.
+#[test]
+fn a_silent_machine_is_given_up_only_after_the_old_leaders_bound() {
+    let build = |view: &mut View| {
+        let m = MachineRecord {
+            type_name: "plain".to_owned(),
+            zone: "east".to_owned(),
+            spot: false,
+            addr: String::new(),
+            returning: false,
+            born: secs(500),
+        };
+        put(view, &machine_key("vm-1"), &m, 2);
+        put_placed(view, "vm-1");
+    };
+    let bound = secs(1_020);
+    let mut d = Desk::new(build, bound);
+    let mut seq = 0;
+    while d.now < bound.plus(secs(13)) {
+        seq += 1;
+        // Idle machines go back after a while: a new one takes their place.
+        let orders = d.report(&format!("vm-a{}", seq / 15), "west", seq, &[]);
+        assert_eq!(starts(&orders), 0, "started elsewhere at {:?}", d.now);
+        d.pass(secs(1));
+    }
+    let mut started = 0;
+    for _ in 0..5 {
+        seq += 1;
+        started += starts(&d.report("vm-b", "west", seq, &[]));
+        d.pass(secs(1));
+    }
+    assert!(started > 0, "never started elsewhere");
+}
+
+/// A place on a machine whose record is gone: the machine was proven gone before that.
+#[test]
+fn a_place_without_a_machine_record_is_free() {
+    let mut d = Desk::new(|view| put_placed(view, "vm-9"), secs(2_000));
+    d.report("vm-2", "west", 1, &[]);
+    d.pass(secs(1));
+    let orders = d.report("vm-2", "west", 2, &[]);
+    let again = |o: &Order| matches!(o, Order::Start { attempt: 2, .. });
+    assert!(orders.iter().any(again), "{orders:?}");
+}
+
+/// Found on a rough canal day: machines heard just before a zone was cut off were taken for a
+/// sign that the zone could be reached, and the others in it were returned.
+#[test]
+fn a_zone_that_falls_silent_whole_is_not_returned() {
+    let mut d = Desk::new(|_| {}, secs(0));
+    for seq in 1..4 {
+        for m in 0..6 {
+            let zone = if m < 3 { "east" } else { "west" };
+            // Reports are spread over their interval.
+            d.pass(Micros::from_millis(300));
+            d.report(&format!("vm-{m}"), zone, seq, &[]);
+        }
+    }
+    for seq in 4..9 {
+        for m in 0..3 {
+            d.pass(Micros::from_millis(600));
+            d.report(&format!("vm-{m}"), "east", seq, &[]);
+        }
+        for m in 3..6 {
+            d.leader.probe_failed(&format!("vm-{m}"));
+        }
+    }
+    assert!(d.returns.is_empty(), "{:?}", d.returns);
+}
+
+/// The counterpart: one silent machine among others that are heard is returned soon.
+#[test]
+fn one_silent_machine_is_returned() {
+    let mut d = Desk::new(|_| {}, secs(0));
+    d.submit("job-1", spec(Kind::Service, 6, 4));
+    for seq in 1..8 {
+        for m in 0..4 {
+            d.pass(Micros::from_millis(500));
+            if m == 3 && seq > 2 {
+                d.leader.probe_failed("vm-3");
+            } else {
+                d.report(&format!("vm-{m}"), "east", seq, &[]);
+            }
+        }
+    }
+    assert!(d.returns.contains("vm-3"), "{:?}", d.returns);
+}
+
+/// Found on the parking site's steady day: guaranteed low work and urgent work of another team
+/// stopped each other in turn, thousands of times.
+#[test]
+fn two_jobs_never_stop_each_other_in_turn() {
+    let mut d = Desk::new(|_| {}, secs(0));
+    let mut low = spec(Kind::Array, 4, 2);
+    low.priority = Priority::Low;
+    low.team = "blue".to_owned();
+    let mut high = spec(Kind::Array, 12, 2);
+    high.priority = Priority::High;
+    d.report("vm-1", "east", 1, &[]);
+    d.submit("job-1", high);
+    d.submit("job-2", low);
+    let (mut seq, mut stops) = (1, 0);
+    let mut on: Vec<SeenTask> = Vec::new();
+    for _ in 0..60 {
+        d.pass(secs(1));
+        seq += 1;
+        for o in d.report("vm-1", "east", seq, &on.clone()) {
+            match o {
+                Order::Start { job, task, attempt } => on.push(SeenTask {
+                    job: job.to_string(),
+                    task,
+                    attempt,
+                    state: TaskState::Running,
+                }),
+                Order::Stop { job, task, .. } => {
+                    stops += 1;
+                    on.retain(|t| t.job != *job || t.task != task);
+                }
+                Order::Forget { .. } => {}
+            }
+        }
+    }
+    assert!(stops <= 8, "{stops} stops");
+}
+
+/// A team's limit holds for everything that may be on machines.
+#[test]
+fn a_teams_limit_holds() {
+    let mut d = Desk::new(|_| {}, secs(0));
+    for m in 0..5 {
+        d.report(&format!("vm-{m}"), "east", 1, &[]);
+    }
+    d.submit("job-1", spec(Kind::Array, 40, 2));
+    d.pass(secs(1));
+    let started: usize = (0..5)
+        .map(|m| starts(&d.report(&format!("vm-{m}"), "east", 2, &[])))
+        .sum();
+    assert_eq!(started, 12, "24 processors at 2 each");
+    assert_eq!(d.leader.used_by("red").cpu, 24_000);
+}
+
+/// Nothing of a gang starts before all of it has a place; then everything does.
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let mut d = Desk::new(|_| {}, secs(0));
+    d.report("vm-0", "east", 1, &[]);
+    d.submit("job-1", spec(Kind::Gang, 3, 5));
+    for seq in 2..6 {
+        d.pass(secs(1));
+        assert_eq!(starts(&d.report("vm-0", "east", seq, &[])), 0);
+    }
+    // At the barrier the members found so far hold their room.
+    assert_eq!(d.leader.used_by("red").cpu, 5_000);
+    d.report("vm-1", "east", 1, &[]);
+    d.report("vm-2", "east", 1, &[]);
+    d.pass(secs(1));
+    let started: usize = (0..3)
+        .map(|m| starts(&d.report(&format!("vm-{m}"), "east", 9, &[])))
+        .sum();
+    assert_eq!(started, 3);
+}
+
+/// The barrier's wait is bounded: the room goes to others, and the gang is parked.
+#[test]
+fn a_gang_that_cannot_complete_gives_its_room_back() {
+    let mut d = Desk::new(|_| {}, secs(0));
+    d.report("vm-0", "east", 1, &[]);
+    d.submit("job-1", spec(Kind::Gang, 3, 5));
+    let mut held = false;
+    let mut freed = false;
+    for seq in 2..30 {
+        d.pass(secs(1));
+        d.report("vm-0", "east", seq, &[]);
+        let used = d.leader.used_by("red").cpu;
+        held |= used > 0;
+        freed |= held && used == 0;
+    }
+    assert!(held && freed, "held {held}, given back {freed}");
+}
