--- a/crates/saltpitch-testkit/src/world.rs
+++ b/crates/saltpitch-testkit/src/world.rs
@@ -37,6 +37,7 @@
 pub struct Faults {
     pub crashes: bool,
     pub cuts: bool,
+    pub zone_cuts: bool,
     pub outages: bool,
     pub machines: bool,
     pub losses: bool,
@@ -47,6 +48,7 @@
         Faults {
             crashes: true,
             cuts: true,
+            zone_cuts: true,
             outages: true,
             machines: true,
             losses: true,
@@ -96,7 +98,10 @@
     /// Tasks whose result is kept.
     pub done: BTreeMap<String, BTreeSet<u32>>,
     pub faults: Faults,
-    pub started: u64,
+    /// The two zones can't reach each other until then.
+    pub apart_until: Micros,
+    /// Machines that were up and reachable from somewhere when the service returned them.
+    pub returned_alive: u64,
     cfg: Config,
     catalog: Arc<Catalog>,
     requests: BTreeMap<String, Vec<String>>,
@@ -180,7 +185,8 @@
             jobs: BTreeMap::new(),
             done: BTreeMap::new(),
             faults,
-            started: 0,
+            apart_until: Micros::ZERO,
+            returned_alive: 0,
             catalog: Arc::new(machine_types()),
             requests: BTreeMap::new(),
             next_machine: 0,
@@ -280,6 +286,10 @@
                 }
             }
         }
+        if self.chance(f.zone_cuts, 0.02) && self.now >= self.apart_until {
+            let wait = Micros::from_secs(3 + self.luck(30));
+            self.apart_until = self.now.plus(wait);
+        }
         if self.chance(f.outages, 0.01) {
             self.store.down = true;
             let wait = Micros::from_secs(2 + self.luck(25));
@@ -322,6 +332,18 @@
 
     // Nodes.
 
+    /// How long until node `n` and this machine can reach each other.
+    fn cut(&self, n: usize, machine: &str) -> Micros {
+        let node = &self.nodes[n];
+        let zone = self.workers.get(machine).map(|m| m.zone.as_str());
+        let apart = if zone == Some(node.zone.as_str()) {
+            Micros::ZERO
+        } else {
+            self.apart_until
+        };
+        node.no_workers_until.max(apart).since(self.now)
+    }
+
     fn node_tick(&mut self, n: usize) {
         let now = self.now;
         if !self.nodes[n].is_up(now) {
@@ -468,7 +490,8 @@
             Effect::Probe { machine, .. } => {
                 let d = self.delay();
                 self.after(d, move |w| {
-                    if w.now < w.nodes[n].no_workers_until {
+                    if w.cut(n, &machine) > Micros::ZERO {
+                        w.tell(n, epoch, |l, _| l.probe_failed(&machine));
                         return;
                     }
                     let now = w.now;
@@ -477,6 +500,9 @@
                         .get_mut(&*machine)
                         .filter(|m| m.is_up(now))
                         .map(Worker::report);
+                    if r.is_none() {
+                        w.tell(n, epoch, |l, _| l.probe_failed(&machine));
+                    }
                     if let Some(r) = r {
                         let d = w.delay();
                         w.after(d, move |w| {
@@ -510,7 +536,10 @@
                 let late = Micros::from_millis(100 + self.luck(3_000));
                 self.after(late, move |w| {
                     for name in &names {
+                        let now = w.now;
                         if let Some(m) = w.workers.get_mut(&**name) {
+                            let busy = m.tasks.values().any(Held::on);
+                            w.returned_alive += u64::from(m.is_up(now) && busy);
                             m.gone = true;
                         }
                     }
@@ -598,7 +627,7 @@
         orders: Vec<Order>,
     ) {
         let starts = orders.iter().any(|o| matches!(o, Order::Start { .. }));
-        let cut = self.nodes[n].no_workers_until.since(self.now);
+        let cut = self.cut(n, &machine);
         let hung = self
             .workers
             .get(&*machine)
@@ -803,7 +832,7 @@
         }
         if let Some((r, target)) = report {
             // A cut holds packets and delivers them when it ends.
-            let held = self.nodes[target].no_workers_until.since(now);
+            let held = self.cut(target, name);
             let wait = held.plus(self.delay());
             self.after(wait, move |w| w.deliver(target, r));
         }
@@ -834,7 +863,8 @@
             .iter()
             .position(|x| x.may_answer(now))
             .filter(|l| *l != n);
-        let d = self.delay();
+        // A cut that began meanwhile holds the answer, and the worker drops it then.
+        let d = self.cut(n, &name).plus(self.delay());
         self.after(d, move |w| w.answered(&name, session, seq, answer, leader));
     }
 
--- a/crates/saltpitch-testkit/tests/world.rs
+++ b/crates/saltpitch-testkit/tests/world.rs
@@ -122,6 +122,27 @@
     many(500..512, f, 100, 300);
 }
 
+#[test]
+fn zones_that_cannot_reach_each_other() {
+    let f = Faults {
+        zone_cuts: true,
+        ..Faults::default()
+    };
+    for seed in 700..712 {
+        let end = play(seed, f, 100, 300).and_then(|w| {
+            served(&w)?;
+            // Machines at work behind a cut are waited for, not returned in panic.
+            match w.returned_alive {
+                0 => Ok(()),
+                n => Err(format!("{n} machines at work were returned")),
+            }
+        });
+        if let Err(e) = end {
+            panic!("seed {seed}: {e}");
+        }
+    }
+}
+
 #[test]
 fn everything_at_once() {
     many(600..630, Faults::all(), 120, 400);
