--- a/crates/saltpitch-core/src/cluster.rs
+++ b/crates/saltpitch-core/src/cluster.rs
@@ -125,6 +125,8 @@
     pub idle_since: Micros,
     /// When a task that needs what this machine is rented for was last here.
     pub wanted_at: Micros,
+    /// How long it is kept when empty.
+    pub keep: Micros,
     pub condemned: bool,
     pub strikes: BTreeSet<JobNo>,
     images: BTreeMap<String, (u64, Micros)>,
@@ -169,6 +171,7 @@
             return_after: Micros::ZERO,
             idle_since: now,
             wanted_at: now,
+            keep: Micros::from_secs(60),
             condemned: false,
             strikes: BTreeSet::new(),
             images: BTreeMap::new(),
--- a/crates/saltpitch-core/src/leader/capacity.rs
+++ b/crates/saltpitch-core/src/leader/capacity.rs
@@ -10,6 +10,10 @@
 use crate::job::{JobSpec, Kind};
 use crate::time::Micros;
 
+/// The most tasks of one job that are planned for at a time: a job of 100,000 tasks must not hold
+/// up everything else, and no cloud has that many machines at once.
+const MAX_RESERVED: u64 = 400;
+
 /// What the cloud refused, and until when not to ask again.
 #[derive(Clone, Copy, Debug)]
 pub struct Refusal {
@@ -78,7 +82,11 @@
             if spec.kind == Kind::Array {
                 want = self.unserved(&spec, want, w.slack, room, &mut work);
             }
-            self.reserve(w.no, &spec, want, &mut bins, now);
+            let renting = JobSpec {
+                spot: self.spot_wanted(&spec),
+                ..(*spec).clone()
+            };
+            self.reserve(w.no, &renting, want.min(MAX_RESERVED), &mut bins, now);
         }
         self.rent(&bins, now);
         self.return_idle(now);
@@ -163,7 +171,7 @@
         room: u64,
         work: &mut u64,
     ) -> u64 {
-        let drain = self.cfg.policy.drain;
+        let drain = self.drain;
         let time = slack.map_or(drain.times(3.0), |s| {
             s.max(drain.times(0.5)).min(drain.times(3.0))
         });
@@ -251,10 +259,7 @@
             let per = spec.need.count_in(&t.size).min(left).max(1);
             for zone in &t.zones {
                 for spot in [true, false] {
-                    if !spec.allows(&t.name, zone, spot)
-                        || !zone_ok(zone)
-                        || (spot && !self.cfg.policy.use_spot)
-                    {
+                    if !spec.allows(&t.name, zone, spot) || !zone_ok(zone) {
                         continue;
                     }
                     let key = (t.name.clone(), zone.clone(), spot);
@@ -383,14 +388,6 @@
         r.until = now.plus(Micros::from_secs(5 << r.times));
     }
 
-    /// How long a machine is kept empty.
-    pub(super) fn keep(&self, m: &Machine) -> Micros {
-        m.kind
-            .boot
-            .times(self.cfg.policy.idle_boots)
-            .max(Micros::from_secs(20))
-    }
-
     fn return_idle(&mut self, now: Micros) {
         let mut back = Vec::new();
         for m in self.machines.values() {
@@ -398,7 +395,7 @@
                 continue;
             }
             let idle = now.since(m.idle_since);
-            let keep = self.keep(m);
+            let keep = m.keep;
             let stale = match m.phase {
                 Phase::Up => m.condemned || idle > keep || now.since(m.wanted_at) > keep,
                 // Some never come up.
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod commit;
 mod evidence;
+mod rules;
 mod schedule;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -13,6 +14,7 @@
 use crate::cluster::{JobNo, Machine, Order, Phase};
 use crate::gang::Gang;
 use crate::job::{JobSpec, JobState, Kind};
+use crate::policy::Policy;
 use crate::quota::{Quota, TeamLimits};
 use crate::records::{View, CHUNK};
 use crate::time::Micros;
@@ -57,29 +59,6 @@
     Deadline(f64),
 }
 
-/// What operators may want to vary.
-#[derive(Clone, Debug)]
-pub struct Policy {
-    /// How long an incomplete gang's room is held at the Permit barrier.
-    pub permit_wait: Micros,
-    /// An empty machine is kept this many times its boot time before it is returned.
-    pub idle_boots: f64,
-    /// Batch work is to be under way within this time: sets how many machines are rented for it.
-    pub drain: Micros,
-    pub use_spot: bool,
-}
-
-impl Default for Policy {
-    fn default() -> Policy {
-        Policy {
-            permit_wait: Micros::from_secs(10),
-            idle_boots: 1.0,
-            drain: Micros::from_secs(90),
-            use_spot: true,
-        }
-    }
-}
-
 /// One write of a transaction; no value deletes the key.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Write {
@@ -245,6 +224,8 @@
     refusals: HashMap<(String, String, bool), Refusal>,
     /// Run time seen over the owner's estimate, per class.
     ratios: HashMap<String, f64>,
+    /// How soon batch work is to be under way, by the policy.
+    drain: Micros,
     /// What tasks with accelerators need, by class.
     gpu_needs: HashMap<String, Res>,
     /// Each active job's place in the order of service, as of the last pass.
@@ -300,6 +281,7 @@
             next_request: 1,
             refusals: HashMap::new(),
             ratios: HashMap::new(),
+            drain: Micros::from_secs(90),
             gpu_needs: HashMap::new(),
             ranks: HashMap::new(),
             open_zones: BTreeSet::new(),
@@ -667,6 +649,7 @@
     }
 
     fn tick(&mut self, now: Micros) {
+        self.apply_policy();
         self.watch_machines(now);
         self.plan_capacity(now);
         self.schedule_wanted = true;
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -118,7 +118,7 @@
         if !self.contested_for(spec, &m.kind.size) {
             return true;
         }
-        spec.kind == Kind::Array && spec.saves() && now.since(m.wanted_at) < self.keep(m)
+        spec.kind == Kind::Array && spec.saves() && now.since(m.wanted_at) < m.keep
     }
 
     pub(super) fn schedule(&mut self, now: Micros) {
@@ -235,10 +235,14 @@
         if !job.spec.one_zone || zone.is_some() {
             self.assume(w.no, zone.as_deref(), now);
         }
+        let Some(spec) = self.jobs.get(&w.no).map(|j| j.spec.clone()) else {
+            return;
+        };
+        let wait = self.gang_hold(&spec);
         let Some(job) = self.jobs.get_mut(&w.no) else {
             return;
         };
-        match permit(job.placed, n, since, now, self.cfg.policy.permit_wait) {
+        match permit(job.placed, n, since, now, wait) {
             Permit::Allow => {
                 job.gang = Gang::Committing;
                 for c in 0..n.div_ceil(CHUNK) {
--- a/crates/saltpitch-core/src/lib.rs
+++ b/crates/saltpitch-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod leader;
 pub mod leadership;
 pub mod placement;
+pub mod policy;
 pub mod preemption;
 pub mod quota;
 pub mod records;
--- a/crates/saltpitch-core/tests/directed.rs
+++ b/crates/saltpitch-core/tests/directed.rs
@@ -6,7 +6,8 @@
 use saltpitch_core::catalog::{Catalog, MachineType, Res};
 use saltpitch_core::cluster::{Cause, Order, Report, SeenTask, TaskState};
 use saltpitch_core::job::{JobSpec, JobState, Kind, Priority};
-use saltpitch_core::leader::{Aim, Config, Effect, Leader, Objective, Ordered, Outcome, Policy};
+use saltpitch_core::leader::{Aim, Config, Effect, Leader, Objective, Ordered, Outcome};
+use saltpitch_core::policy::Policy;
 use saltpitch_core::quota::TeamLimits;
 use saltpitch_core::records::{
     chunk_key, job_key, machine_key, ChunkRecord, JobRecord, MachineRecord, PlaceRecord,
@@ -122,6 +123,8 @@
     rev: u64,
     orders: Vec<(Arc<str>, Vec<Order>)>,
     returns: BTreeSet<String>,
+    writes: usize,
+    rented: u32,
 }
 
 impl Desk {
@@ -145,6 +148,8 @@
             rev: 10,
             orders: Vec::new(),
             returns: BTreeSet::new(),
+            writes: 0,
+            rented: 0,
         }
     }
 
@@ -166,7 +171,8 @@
             self.now = self.now.plus(Micros::from_millis(100));
             for e in self.leader.poll(self.now) {
                 match e {
-                    Effect::Txn { .. } => {
+                    Effect::Txn { writes, .. } => {
+                        self.writes += writes.len();
                         self.rev += 1;
                         self.leader.committed(Outcome::Done(self.rev), self.now);
                     }
@@ -183,6 +189,7 @@
                         self.leader
                             .ordered(&machine, session, token, starts, end, self.now);
                     }
+                    Effect::Rent { count, .. } => self.rented += count,
                     Effect::Return { names } => {
                         self.returns.extend(names.iter().map(|n| n.to_string()));
                     }
@@ -435,3 +442,16 @@
     }
     assert!(held && freed, "held {held}, given back {freed}");
 }
+
+/// A job of 100,000 tasks is served in steps: only chunks with placed tasks are written, and no
+/// more is rented for it than a cloud can have.
+#[test]
+fn a_job_of_100_000_tasks_is_taken_in_steps() {
+    let mut d = Desk::new(|_| {}, secs(0));
+    d.report("vm-0", "east", 1, &[]);
+    d.submit("job-1", spec(Kind::Array, 100_000, 2));
+    d.pass(secs(2));
+    assert_eq!(starts(&d.report("vm-0", "east", 2, &[])), 4);
+    assert!(d.writes <= 4, "{} writes", d.writes);
+    assert!((1..=200).contains(&d.rented), "{} rented", d.rented);
+}
--- a/crates/saltpitch-testkit/src/world.rs
+++ b/crates/saltpitch-testkit/src/world.rs
@@ -10,9 +10,10 @@
 use saltpitch_core::cluster::{Cause, Order, Report, TaskState};
 use saltpitch_core::job::{JobSpec, JobState, Kind, Priority};
 use saltpitch_core::leader::{
-    Aim, Config, Effect, Leader, ListedMachine, Objective, Ordered, Outcome, Policy, Rented, Write,
+    Aim, Config, Effect, Leader, ListedMachine, Objective, Ordered, Outcome, Rented, Write,
 };
 use saltpitch_core::leadership::{answer_bound, Hearing};
+use saltpitch_core::policy::Policy;
 use saltpitch_core::quota::TeamLimits;
 use saltpitch_core::records::{job_key, JobRecord, LEADER_KEY, TERM_KEY};
 use saltpitch_core::Micros;
--- a/crates/saltpitch/src/lead.rs
+++ b/crates/saltpitch/src/lead.rs
@@ -337,6 +337,9 @@
                 Some(l) => {
                     l.open_zones = open;
                     let effects = l.poll(now);
+                    for fault in l.policy_faults() {
+                        tracing::error!("{fault}");
+                    }
                     if now.since(said) > Micros::from_secs(10) {
                         said = now;
                         tracing::info!("{}", l.summary());
--- a/crates/saltpitch/src/main.rs
+++ b/crates/saltpitch/src/main.rs
@@ -35,12 +35,18 @@
         /// The platform's settings file (JSON).
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
+        /// The operators' policy file; the built-in policy if there is none.
+        #[arg(long, value_name = "FILE")]
+        policy: Option<PathBuf>,
     },
     /// Checks a settings file and says what it holds.
     Check {
         /// The platform's settings file (JSON).
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
+        /// The operators' policy file; the built-in policy if there is none.
+        #[arg(long, value_name = "FILE")]
+        policy: Option<PathBuf>,
     },
 }
 
@@ -56,8 +62,8 @@
 
 fn run(args: Args) -> anyhow::Result<()> {
     match args.command {
-        Command::Check { config } => {
-            let s = settings::Settings::load(&config)?;
+        Command::Check { config, policy } => {
+            let s = settings::Settings::load(&config, policy.as_deref())?;
             println!(
                 "{}: node {} in {}, {} peers, {} teams, {} zones: ok",
                 config.display(),
@@ -69,8 +75,8 @@
             );
             Ok(())
         }
-        Command::Serve { config } => {
-            let s = settings::Settings::load(&config)?;
+        Command::Serve { config, policy } => {
+            let s = settings::Settings::load(&config, policy.as_deref())?;
             start_log();
             tokio::runtime::Builder::new_current_thread()
                 .enable_all()
--- a/crates/saltpitch/src/settings.rs
+++ b/crates/saltpitch/src/settings.rs
@@ -1,9 +1,11 @@
 //! The platform's settings file: read once at start, checked field by field.
 
 use std::net::SocketAddr;
+use std::path::Path;
 
 use anyhow::{bail, Context, Result};
-use saltpitch_core::leader::{Aim, Config, Objective, Policy};
+use saltpitch_core::leader::{Aim, Config, Objective};
+use saltpitch_core::policy::Policy;
 use saltpitch_core::quota::TeamLimits;
 use saltpitch_core::Micros;
 use serde::de::DeserializeOwned;
@@ -29,6 +31,8 @@
     pub clock_error: Micros,
     pub objectives: Vec<Objective>,
     pub guarantee_within: Micros,
+    /// The operators' own rules, on top of the built-in ones.
+    pub policy: Policy,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -97,10 +101,18 @@
 }
 
 impl Settings {
-    pub fn load(path: &std::path::Path) -> Result<Settings> {
+    /// Reads the platform's file and, if there is one, the operators' policy.
+    pub fn load(path: &Path, policy: Option<&Path>) -> Result<Settings> {
         let text = std::fs::read_to_string(path)
             .with_context(|| format!("settings: cannot read {}", path.display()))?;
-        Settings::parse(&text)
+        let mut settings = Settings::parse(&text)?;
+        if let Some(path) = policy {
+            let text = std::fs::read_to_string(path)
+                .with_context(|| format!("policy: cannot read {}", path.display()))?;
+            settings.policy = Policy::parse(&text)
+                .map_err(|e| anyhow::anyhow!("policy: {}:{e}", path.display()))?;
+        }
+        Ok(settings)
     }
 
     pub fn parse(text: &str) -> Result<Settings> {
@@ -137,6 +149,7 @@
             list_lag: f.span("cluster.cloud.list_lag_s")?,
             objectives: objectives(&f)?,
             guarantee_within: guarantee(&f),
+            policy: Policy::default(),
             clock_error: Micros::from_secs_f64(f.number("cluster.clock_error_ms", 0.0, 1e6)? / 1e3),
         };
         if s.workers.cancel <= s.workers.lease {
@@ -162,7 +175,7 @@
             teams: self.teams.clone(),
             objectives: self.objectives.clone(),
             guarantee_within: self.guarantee_within,
-            policy: Policy::default(),
+            policy: self.policy.clone(),
         }
     }
 }
