--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -516,6 +516,10 @@
             return;
         };
         job.placed -= 1;
+        if !place.committed && !place.sent && job.tasks[task as usize].attempt == place.attempt {
+            // Never sent: the number was not used.
+            job.tasks[task as usize].attempt -= 1;
+        }
         if !job.tasks[task as usize].done {
             job.idle.insert(task);
         }
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -58,7 +58,9 @@
             let high = j.spec.priority < Priority::High;
             // When not all can be served in time, the smallest first keeps the most aims.
             let left = j.idle.len() as u64 * self.estimate(&j.spec).0 / 1_000 * j.spec.need.cpu;
-            let key = (rank, high, left, *no);
+            // A gang that has waited for long comes before smaller ones that would fill the gaps.
+            let left = if self.aged(j, now) { 0 } else { left };
+            let key = (rank, high, left, j.submitted, *no);
             list.push((
                 key,
                 Waiting {
@@ -122,6 +124,7 @@
     }
 
     pub(super) fn schedule(&mut self, now: Micros) {
+        self.loosen(now);
         for w in self.waiting(now) {
             let Some(job) = self.jobs.get(&w.no) else {
                 continue;
@@ -141,6 +144,33 @@
         }
     }
 
+    /// The source lets a large gang starve while smaller work fills the gaps. Ours ages: after this
+    /// wait it is served first among its like and keeps the room that it finds.
+    fn aged(&self, job: &Job, now: Micros) -> bool {
+        job.spec.kind == Kind::Gang
+            && job.placed < job.spec.tasks
+            && now.since(job.submitted) > Micros::from_secs(20)
+    }
+
+    /// Takes back the room of all gangs at the barrier, so that this pass deals it out anew, oldest
+    /// first: two gangs must not each hold what the other lacks.
+    fn loosen(&mut self, now: Micros) {
+        let holding: Vec<(JobNo, Micros)> = self
+            .jobs
+            .iter()
+            .filter_map(|(no, j)| match j.gang {
+                Gang::Holding { since } => Some((*no, since)),
+                _ => None,
+            })
+            .collect();
+        for (no, since) in holding {
+            self.park(no, now);
+            if let Some(job) = self.jobs.get_mut(&no) {
+                job.gang = Gang::Holding { since };
+            }
+        }
+    }
+
     /// Machines where this job's tasks could go now, best first, in `zone` if one is given.
     fn candidates(&self, job: &Job, zone: Option<&str>, now: Micros) -> Vec<Arc<str>> {
         let quiet = self.quiet();
@@ -256,6 +286,12 @@
                 let left = u64::from(n - job.placed);
                 self.preempt(w, left, now);
             }
+            Permit::Drop if self.jobs.get(&w.no).is_some_and(|j| self.aged(j, now)) => {
+                // It keeps what it found: its turn has come.
+                if let Some(job) = self.jobs.get_mut(&w.no) {
+                    job.gang = Gang::Holding { since };
+                }
+            }
             Permit::Drop => {
                 self.park(w.no, now);
                 if let Some(job) = self.jobs.get_mut(&w.no) {
