Replicas take lesser work's room at once where their image is

Cause (parking): a replica placed on a machine without its image waits some 9 s for the fetch, beyond its 4 s aim.

--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -161,6 +161,8 @@
     pub avoid: BTreeMap<Arc<str>, Micros>,
     pub errors: u32,
     pub preempted_at: Micros,
+    /// Room is being made where its image is: it waits for that until then.
+    pub room_by: Option<Micros>,
     /// All tasks were placed at one time.
     pub started: bool,
     pub zones: BTreeMap<Arc<str>, u32>,
@@ -390,6 +392,7 @@
             avoid: BTreeMap::new(),
             errors: 0,
             preempted_at: Micros::ZERO,
+            room_by: None,
             started: false,
             zones: BTreeMap::new(),
             spec,
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -22,6 +22,13 @@
     pub slack: Option<Micros>,
 }
 
+/// How room for one task can be made on a machine.
+struct Making {
+    loss: u64,
+    machine: Arc<str>,
+    victims: Vec<(JobNo, u32)>,
+}
+
 impl Leader {
     /// Jobs with tasks to place, most urgent first: production, then what lies within its team's
     /// guarantee, then the rest, each by priority and age.
@@ -135,6 +142,9 @@
             match job.spec.kind {
                 Kind::Gang => self.schedule_gang(w, now),
                 _ => {
+                    if job.spec.priority == Priority::Production && self.clears_near_image(w, now) {
+                        continue;
+                    }
                     let left = self.fill(w.no, now);
                     if left > 0 {
                         self.preempt(w, left, now);
@@ -171,6 +181,46 @@
         }
     }
 
+    /// A replica starts at once where its image is, and only after a fetch elsewhere: once for each
+    /// job, lesser work is stopped on machines that have the image. True while that room is awaited.
+    fn clears_near_image(&mut self, w: Waiting, now: Micros) -> bool {
+        let Some(job) = self.jobs.get(&w.no) else {
+            return false;
+        };
+        if let Some(until) = job.room_by {
+            return now < until;
+        }
+        let spec = job.spec.clone();
+        let has = |name: &Arc<str>| {
+            self.machines
+                .get(name)
+                .is_some_and(|m| m.has_image(&spec.image))
+        };
+        let ready: u64 = self
+            .candidates(job, None, now)
+            .iter()
+            .filter(|name| has(name))
+            .filter_map(|name| self.machines.get(name))
+            .map(|m| spec.need.count_in(&m.free()))
+            .sum();
+        let missing = (job.idle.len() as u64).saturating_sub(ready) as usize;
+        let mut options = self.preemption_options(w, &spec, now);
+        options.retain(|o| has(&o.machine) && !o.victims.is_empty());
+        options.sort_by_key(|o| o.loss);
+        options.truncate(missing);
+        let awaited = !options.is_empty();
+        if let Some(job) = self.jobs.get_mut(&w.no) {
+            job.room_by = Some(if awaited {
+                now.plus(Micros::from_millis(700))
+            } else {
+                now
+            });
+        }
+        let victims = options.into_iter().flat_map(|o| o.victims).collect();
+        self.stop_victims(victims, true, now);
+        awaited
+    }
+
     /// Machines where this job's tasks could go now, best first, in `zone` if one is given.
     fn candidates(&self, job: &Job, zone: Option<&str>, now: Micros) -> Vec<Arc<str>> {
         let quiet = self.quiet();
@@ -370,13 +420,13 @@
         let mut stops: Vec<(JobNo, u32)> = Vec::new();
         let mut left = left;
         let mut options = self.preemption_options(w, &spec, now);
-        options.sort_by_key(|o| o.0);
-        for (_, victims) in options {
+        options.sort_by_key(|o| o.loss);
+        for o in options {
             if left == 0 {
                 break;
             }
             left -= 1;
-            stops.extend(victims);
+            stops.extend(o.victims);
         }
         if stops.is_empty() {
             return;
@@ -384,11 +434,16 @@
         if let Some(job) = self.jobs.get_mut(&w.no) {
             job.preempted_at = now;
         }
+        self.stop_victims(stops, spec.priority == Priority::Production, now);
+    }
+
+    /// Stops these tasks, at once or with time to save.
+    fn stop_victims(&mut self, stops: Vec<(JobNo, u32)>, at_once: bool, now: Micros) {
         for (no, task) in stops {
             let Some(victim) = self.jobs.get(&no) else {
                 continue;
             };
-            let grace = if victim.spec.saves() {
+            let grace = if victim.spec.saves() && !at_once {
                 victim.spec.save.plus(Micros::from_secs(2))
             } else {
                 Micros::ZERO
@@ -402,12 +457,7 @@
     }
 
     /// Per machine where room could be made for one task: what that loses, and whom to stop.
-    fn preemption_options(
-        &self,
-        w: Waiting,
-        spec: &JobSpec,
-        now: Micros,
-    ) -> Vec<(u64, Vec<(JobNo, u32)>)> {
+    fn preemption_options(&self, w: Waiting, spec: &JobSpec, now: Micros) -> Vec<Making> {
         let quiet = self.quiet();
         let mut options = Vec::new();
         let Some(job) = self.jobs.get(&w.no) else {
@@ -451,22 +501,26 @@
                     Seen::Running => now.since(place.running_since.unwrap_or(place.since)),
                     _ => now.since(place.since).times(0.2),
                 };
+                // Production waits for nobody's save: what is lost then is the time since the last
+                // checkpoint.
+                let lost = match (spec.priority, other.spec.saves()) {
+                    (Priority::Production, true) => Micros(ran.0 % other.spec.checkpoint.0),
+                    (_, true) => other.spec.save,
+                    _ => ran,
+                };
                 victims.push(Victim {
                     id: (no, task),
                     need: other.spec.need,
-                    loss: loss(
-                        other.spec.need.cpu,
-                        ran,
-                        other.spec.saves(),
-                        other.spec.save,
-                    ),
+                    loss: loss(other.spec.need.cpu, lost),
                 });
             }
-            match choose(&spec.need, free, &mut victims) {
-                Some((cost, ids)) if !ids.is_empty() => options.push((cost, ids)),
-                // Room is being made here already: that covers one of the tasks.
-                Some((_, _)) => options.push((0, Vec::new())),
-                None => {}
+            // No victims: room is being made here already, which covers one of the tasks.
+            if let Some((loss, victims)) = choose(&spec.need, free, &mut victims) {
+                options.push(Making {
+                    loss,
+                    machine: m.name.clone(),
+                    victims,
+                });
             }
         }
         options
--- a/crates/saltpitch-core/src/preemption.rs
+++ b/crates/saltpitch-core/src/preemption.rs
@@ -45,9 +45,7 @@
     Some((loss, taken.into_iter().map(|i| victims[i].id).collect()))
 }
 
-/// Work lost when a running task is stopped now: everything since its last checkpoint, or since
-/// its start when it never saves. A task that can save on being stopped loses only that time.
-pub fn loss(cpu: u64, ran: Micros, saves: bool, save: Micros) -> u64 {
-    let lost = if saves { save } else { ran };
+/// Work lost when `lost` of a task's run time has to be done again.
+pub fn loss(cpu: u64, lost: Micros) -> u64 {
     cpu.saturating_mul(lost.0 / 1_000)
 }
