--- a/crates/saltpitch/src/main.rs
+++ b/crates/saltpitch/src/main.rs
@@ -1,6 +1,7 @@
 //! saltpitch: a cluster scheduler for small sites.
 
 mod api;
+mod bounded;
 mod budget;
 mod clock;
 mod cloud;
--- a/crates/saltpitch/src/node.rs
+++ b/crates/saltpitch/src/node.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use poem::listener::TcpListener as PoemListener;
+use poem::listener::{Listener, TcpListener as PoemListener};
 use poem::Server;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -20,6 +20,7 @@
 use tokio::sync::{watch, Notify};
 
 use crate::api::Api;
+use crate::bounded::Bounded;
 use crate::clock::Clock;
 use crate::cloud::Cloud;
 use crate::http::Client;
@@ -29,6 +30,9 @@
 use crate::store::{News, Store};
 use crate::wire::{store::Item, users, workers};
 
+/// A connection on which nothing moves for this long is closed.
+const STALLED: Duration = Duration::from_secs(300);
+
 /// What is known of another controller.
 #[derive(Clone, Debug)]
 pub struct PeerInfo {
@@ -118,10 +122,17 @@
     tokio::spawn(crate::lead::hold_office(node.clone()));
     tokio::spawn(crate::lead::run(node.clone()));
     tokio::spawn(crate::lead::list_machines(node.clone()));
-    Server::new(PoemListener::bind(api.to_string()))
+    let cannot = || format!("cannot serve on api_addr {api}");
+    let acceptor = PoemListener::bind(api.to_string())
+        .into_acceptor()
+        .await
+        .with_context(cannot)?;
+    let connections = node.settings.sockets * 7 / 10;
+    Server::new_with_acceptor(Bounded::new(acceptor, connections))
+        .idle_timeout(STALLED)
         .run(Api(node))
         .await
-        .with_context(|| format!("cannot serve on api_addr {api}"))
+        .with_context(cannot)
 }
 
 impl Node {
--- a/crates/saltpitch/src/settings.rs
+++ b/crates/saltpitch/src/settings.rs
@@ -29,6 +29,7 @@
     pub cloud_rps: f64,
     pub list_lag: Micros,
     pub clock_error: Micros,
+    pub sockets: usize,
     pub objectives: Vec<Objective>,
     pub guarantee_within: Micros,
     /// The operators' own rules, on top of the built-in ones.
@@ -148,6 +149,7 @@
             cloud_rps: f.number("cluster.cloud.rps", 0.1, 1e5)?,
             list_lag: f.span("cluster.cloud.list_lag_s")?,
             objectives: objectives(&f)?,
+            sockets: f.number("cluster.limits.sockets", 32.0, 1e7)? as usize,
             guarantee_within: guarantee(&f),
             policy: Policy::default(),
             clock_error: Micros::from_secs_f64(f.number("cluster.clock_error_ms", 0.0, 1e6)? / 1e3),
--- a/crates/saltpitch/tests/end_to_end.rs
+++ b/crates/saltpitch/tests/end_to_end.rs
@@ -626,6 +626,20 @@
         until(a, Method::GET, "/up", None, |r| r.0 == 200).await;
     }
 
+    // Clients that connect and say nothing, or stop in the middle, hold nobody up.
+    let mut stalled = Vec::new();
+    for n in 0..100 {
+        let mut tcp = tokio::net::TcpStream::connect(api[n % 2])
+            .await
+            .expect("a connection");
+        if n % 3 == 0 {
+            use tokio::io::AsyncWriteExt;
+            let part = b"POST /v2/runs HTTP/1.1\r\nhost: a\r\ncontent-length: 900\r\n\r\n{";
+            tcp.write_all(part).await.expect("written");
+        }
+        stalled.push(tcp);
+    }
+
     // What can't be taken, and why.
     for (path, body, status) in [
         ("/v2/runs", json!([1]), 400),
