--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -28,10 +28,8 @@
 pub struct Config {
     pub report: Micros,
     pub lease: Micros,
-    pub gang_wait: Micros,
     pub gang_peer: Micros,
     pub cancel: Micros,
-    pub list_lag: Micros,
     pub txn_ops: usize,
     /// Bytes that one transaction may hold, with room to spare.
     pub txn_bytes: usize,
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -236,7 +236,7 @@
                     && self.may_borrow(spec, m, now)
                     && job.avoid.get(&m.name).is_none_or(|until| *until <= now)
             })
-            .map(|m| (placement::score(spec, m, now), &m.name))
+            .map(|m| (placement::score(spec, m), &m.name))
             .collect();
         list.sort();
         list.into_iter().map(|x| x.1.clone()).collect()
--- a/crates/saltpitch-core/src/placement.rs
+++ b/crates/saltpitch-core/src/placement.rs
@@ -2,11 +2,10 @@
 
 use crate::catalog::Res;
 use crate::cluster::Machine;
-use crate::job::{JobSpec, Kind};
-use crate::time::Micros;
+use crate::job::JobSpec;
 
 /// Lower is better. The unit is about a millisecond of delay, money counted alongside.
-pub fn score(spec: &JobSpec, m: &Machine, now: Micros) -> u64 {
+pub fn score(spec: &JobSpec, m: &Machine) -> u64 {
     let fetch = if m.has_image(&spec.image) {
         0
     } else {
@@ -23,13 +22,7 @@
     } else {
         0
     };
-    // A service on a machine that is about to be needed elsewhere would have to move.
-    let young = if spec.kind == Kind::Service && now.since(m.up_since) < Micros::from_secs(5) {
-        10
-    } else {
-        0
-    };
-    fetch + kind + room + gpu + young
+    fetch + kind + room + gpu
 }
 
 /// Whether a machine type with accelerators is one that waiting or running work with accelerators
--- a/crates/saltpitch-core/tests/directed.rs
+++ b/crates/saltpitch-core/tests/directed.rs
@@ -24,10 +24,8 @@
     Config {
         report: secs(2),
         lease: secs(14),
-        gang_wait: secs(30),
         gang_peer: secs(5),
         cancel: secs(44),
-        list_lag: secs(6),
         txn_ops: 16,
         txn_bytes: 50_000,
         teams: ["red", "blue"]
--- a/crates/saltpitch-testkit/src/world.rs
+++ b/crates/saltpitch-testkit/src/world.rs
@@ -120,10 +120,8 @@
     Config {
         report: times.report,
         lease: times.lease,
-        gang_wait: times.gang_wait,
         gang_peer: times.gang_peer,
         cancel: times.cancel,
-        list_lag: Micros::from_secs(6),
         txn_ops: 8,
         txn_bytes: 50_000,
         teams: teams.to_vec(),
--- a/crates/saltpitch/src/lead.rs
+++ b/crates/saltpitch/src/lead.rs
@@ -561,7 +561,8 @@
                     }
                 }
             }
-            node.pause(2_500).await;
+            // The list lags anyway: to read it more often than that shows nothing new.
+            node.pause(node.settings.list_lag.0 / 2_000).await;
         } else {
             node.pause(500).await;
         }
--- a/crates/saltpitch/src/settings.rs
+++ b/crates/saltpitch/src/settings.rs
@@ -48,7 +48,6 @@
 pub struct Workers {
     pub report: Micros,
     pub lease: Micros,
-    pub gang_wait: Micros,
     pub gang_peer: Micros,
     pub cancel: Micros,
 }
@@ -136,7 +135,6 @@
             workers: Workers {
                 report: f.span("cluster.workers.report_s")?,
                 lease: f.span("cluster.workers.lease_s")?,
-                gang_wait: f.span("cluster.workers.gang_wait_s")?,
                 gang_peer: f.span("cluster.workers.gang_peer_s")?,
                 cancel: f.span("cluster.workers.cancel_s")?,
             },
@@ -168,10 +166,8 @@
         Config {
             report: self.workers.report,
             lease: self.workers.lease,
-            gang_wait: self.workers.gang_wait,
             gang_peer: self.workers.gang_peer,
             cancel: self.workers.cancel,
-            list_lag: self.list_lag,
             txn_ops: self.store.txn_ops,
             txn_bytes: 56 * 1024,
             teams: self.teams.clone(),
