--- a/crates/saltpitch-testkit/src/workers.rs
+++ b/crates/saltpitch-testkit/src/workers.rs
@@ -36,6 +36,8 @@
     pub zone: String,
     pub spot: bool,
     pub size: saltpitch_core::catalog::Res,
+    /// Its tasks take three times as long.
+    pub slow: bool,
     pub boots_at: Micros,
     pub gone: bool,
     pub hung_until: Micros,
@@ -143,7 +145,7 @@
                         attempt: *attempt,
                         state,
                         until: now.plus(fetch),
-                        run,
+                        run: run.times(if self.slow { 3.0 } else { 1.0 }),
                     };
                     self.tasks.insert((id, *attempt), held);
                     self.changed = true;
--- a/crates/saltpitch-testkit/src/world.rs
+++ b/crates/saltpitch-testkit/src/world.rs
@@ -61,6 +61,8 @@
     pub spec: JobSpec,
     pub accepted: bool,
     pub cancelled_at: Option<Micros>,
+    /// Submitted with a mistake: it fails on every machine until its user cancels it.
+    pub mistaken: bool,
 }
 
 type Action = Box<dyn FnOnce(&mut World)>;
@@ -587,6 +589,13 @@
             });
             return;
         }
+        if self.faults.losses && self.luck(20) == 0 {
+            // Above its rate the store refuses.
+            self.after(Micros::from_millis(5), move |w| {
+                w.tell(n, epoch, |l, now| l.committed(Outcome::Refused, now));
+            });
+            return;
+        }
         let lost = self.faults.losses && self.luck(15) == 0;
         let late = if lost {
             self.luck(8_000)
@@ -720,7 +729,14 @@
         for _ in 0..n {
             self.next_machine += 1;
             let name = format!("vm-{:06}", self.next_machine);
-            let boot = Micros::from_secs(1 + self.luck(14));
+            // Some take long, a few never come up, and some are slow once they are.
+            let odd = self.faults.machines && self.now < self.quiet_from;
+            let boot = match self.luck(12) {
+                0 if odd => Micros::from_secs(1_000_000),
+                1 if odd => Micros::from_secs(45),
+                _ => Micros::from_secs(1 + self.luck(14)),
+            };
+            let slow = odd && self.luck(6) == 0;
             let target = self.luck(3) as usize;
             self.workers.insert(
                 name.clone(),
@@ -730,6 +746,7 @@
                     zone: zone.to_owned(),
                     spot,
                     size,
+                    slow,
                     boots_at: self.now.plus(boot),
                     gone: false,
                     hung_until: Micros::ZERO,
@@ -798,6 +815,14 @@
             let Some(job) = self.jobs.get(&id.0) else {
                 continue;
             };
+            if job.mistaken && h.state == TaskState::Running {
+                h.state = TaskState::Exited {
+                    cause: Cause::Error,
+                    saved: false,
+                };
+                m.changed = true;
+                continue;
+            }
             if advance(h, &job.spec, now) {
                 done.push(id.clone());
             }
@@ -983,6 +1008,7 @@
             spec: spec.clone(),
             accepted: false,
             cancelled_at: None,
+            mistaken: id.ends_with('7') && spec.kind == Kind::Array,
         });
         let record = JobRecord {
             state: JobState::Active,
--- a/crates/saltpitch-testkit/tests/world.rs
+++ b/crates/saltpitch-testkit/tests/world.rs
@@ -35,9 +35,11 @@
         w.submit(id, spec);
     }
     w.run(Micros::from_secs(busy + calm / 2))?;
-    // Services end when their users say so; until then they may hold a team's whole limit.
+    // Services end when their users say so; until then they may hold a team's whole limit. So do
+    // jobs that fail everywhere.
     for id in &ids {
-        if w.jobs[id].spec.kind == Kind::Service {
+        let j = &w.jobs[id];
+        if j.spec.kind == Kind::Service || j.mistaken {
             w.cancel(id);
         }
     }
--- a/crates/saltpitch/tests/end_to_end.rs
+++ b/crates/saltpitch/tests/end_to_end.rs
@@ -247,6 +247,7 @@
                 gpu: 1_000,
                 mem: 32_000,
             },
+            slow: false,
             boots_at: now,
             gone: false,
             hung_until: Micros::ZERO,
