--- a/crates/saltpitch-core/src/catalog.rs
+++ b/crates/saltpitch-core/src/catalog.rs
@@ -5,7 +5,7 @@
 use crate::time::Micros;
 
 /// Amounts in thousandths: of a processor, of an accelerator, of a gigabyte.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Res {
     #[serde(rename = "c")]
     pub cpu: u64,
--- a/crates/saltpitch-core/src/cluster.rs
+++ b/crates/saltpitch-core/src/cluster.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::catalog::{MachineType, Res};
+use crate::fleet::{GroupNo, Indexed};
 use crate::time::Micros;
 
 /// A job's number within one leader's memory.
@@ -108,6 +109,9 @@
     pub fenced_at: Option<Micros>,
     pub last_heard: Micros,
     pub last_answer: Micros,
+    /// When the present session was first heard of: its lease counts from its beginning, which is
+    /// not later than this, even if no report of it was ever answered.
+    pub session_since: Micros,
     pub notice: Option<Micros>,
     /// Tasks that are or may be here, assumed ones included.
     pub holds: BTreeSet<(JobNo, u32)>,
@@ -125,18 +129,126 @@
     pub idle_since: Micros,
     /// When a task that needs what this machine is rented for was last here.
     pub wanted_at: Micros,
-    /// How long it is kept when empty.
-    pub keep: Micros,
     pub condemned: bool,
     pub strikes: BTreeSet<JobNo>,
+    /// Its group in the index, and what the index has of it.
+    pub group: GroupNo,
+    pub indexed: Indexed,
+    /// Processors used by work that is not batch.
+    pub steady_cpu: u64,
+    /// Not heard of for so long that nothing new is placed on it.
+    pub silent: bool,
+    /// Signs that our answers don't reach it although its reports reach us.
+    pub deaf: Deaf,
+    /// When it is looked after next.
+    pub look_at: Micros,
+    /// The record block that it is in.
+    pub block: Option<u32>,
     images: BTreeMap<String, (u64, Micros)>,
 }
 
+/// A machine whose reports arrive while answers and commands don't reach it looks alive, yet its
+/// lease runs out and nothing that it is told happens. Only what it shows of our words tells: the
+/// token in its reports, whether it stays with this node, and whether direct calls get through.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Deaf {
+    /// The highest token told in an answer, and the report that was answered.
+    told: Option<(u64, u64)>,
+    /// Reports in a row that show nothing of the answers before them.
+    unheeded: u32,
+    /// Direct calls in a row that did not get through.
+    unreached: u32,
+    /// When it last showed that an answer reached it.
+    heard_at: Option<Micros>,
+    /// Since when it is suspected: two signs in a row, since any one answer or call may be lost.
+    pub since: Option<Micros>,
+    /// Reports that came since then, and when the first did: a machine behind a cut sends none, and
+    /// when the cut ends the calls get through soon after the reports that it held back.
+    reports: u32,
+    reported_at: Option<Micros>,
+}
+
+impl Deaf {
+    /// An answer with this token was sent to the report `seq`, which showed the token `seen`.
+    pub fn told(&mut self, token: u64, seen: u64, seq: u64) {
+        if seen < token && self.told.is_none_or(|t| t.0 < token) {
+            self.told = Some((token, seq));
+        }
+    }
+
+    /// What a report shows of the answers to earlier ones. `stays`: it is the next that the worker
+    /// sent after one that was answered here; without that answer it would have asked another node.
+    pub fn reported(&mut self, token: u64, seq: u64, stays: bool, lately: Micros, now: Micros) {
+        if let Some((told, _)) = self.told.filter(|t| t.1 < seq) {
+            if token >= told {
+                self.told = None;
+                self.unheeded = 0;
+                self.heard_at = Some(now);
+            } else {
+                self.unheeded += 1;
+            }
+        }
+        if stays {
+            self.heard_at = Some(now);
+        }
+        self.judge(lately, now);
+        if self.since.is_some() {
+            self.reports += 1;
+            self.reported_at.get_or_insert(now);
+        }
+    }
+
+    /// A new session began. `answered`: although reports of the one before were answered.
+    pub fn new_session(&mut self, answered: bool, lately: Micros, now: Micros) {
+        self.told = None;
+        if answered {
+            self.heard_at = None;
+            self.unheeded += 2;
+        }
+        self.judge(lately, now);
+        if answered {
+            self.reports += 1;
+            self.reported_at.get_or_insert(now);
+        }
+    }
+
+    /// A direct call got through, or did not.
+    pub fn called(&mut self, reached: bool, lately: Micros, now: Micros) {
+        if reached {
+            self.unheeded = 0;
+            self.unreached = 0;
+        } else {
+            self.unreached += 1;
+        }
+        self.judge(lately, now);
+    }
+
+    fn judge(&mut self, lately: Micros, now: Micros) {
+        let heard = self.heard_at.is_some_and(|at| now.since(at) < lately);
+        if self.unheeded >= 2 || (self.unreached >= 2 && !heard) {
+            self.since.get_or_insert(now);
+        } else {
+            self.since = None;
+            self.reports = 0;
+            self.reported_at = None;
+        }
+    }
+
+    /// It is heard, and has not heard us, for this long.
+    pub fn certain(&self, wait: Micros, now: Micros) -> bool {
+        self.reports >= 2 && self.reported_at.is_some_and(|at| now.since(at) > wait)
+    }
+
+    pub fn suspected(&self) -> bool {
+        self.since.is_some()
+    }
+}
+
 impl Machine {
     pub fn new(
         name: &str,
         kind: Arc<MachineType>,
-        zone: &str,
+        zone: Arc<str>,
         spot: bool,
         addr: &str,
         now: Micros,
@@ -144,7 +256,7 @@
         Machine {
             name: name.into(),
             kind,
-            zone: zone.into(),
+            zone,
             spot,
             addr: addr.to_owned(),
             phase: Phase::Unheard,
@@ -159,6 +271,7 @@
             fenced_at: None,
             last_heard: Micros::ZERO,
             last_answer: Micros::ZERO,
+            session_since: Micros::ZERO,
             notice: None,
             holds: BTreeSet::new(),
             used: Res::default(),
@@ -171,9 +284,15 @@
             return_after: Micros::ZERO,
             idle_since: now,
             wanted_at: now,
-            keep: Micros::from_secs(60),
             condemned: false,
             strikes: BTreeSet::new(),
+            group: 0,
+            indexed: Indexed::default(),
+            steady_cpu: 0,
+            silent: false,
+            deaf: Deaf::default(),
+            look_at: Micros::ZERO,
+            block: None,
             images: BTreeMap::new(),
         }
     }
@@ -194,14 +313,15 @@
     }
 
     /// Whether new tasks may be placed here now.
-    pub fn takes_tasks(&self, now: Micros, quiet: Micros) -> bool {
+    pub fn takes_tasks(&self) -> bool {
         self.is_up()
             && self.recorded
             && self.fenced_at.is_some()
             && !self.condemned
             && self.notice.is_none()
+            && !self.silent
+            && !self.deaf.suspected()
             && !self.has_live_strays()
-            && now.since(self.last_heard) < quiet
     }
 
     pub fn has_image(&self, image: &str) -> bool {
@@ -210,6 +330,10 @@
 
     /// Notes the use of an image; the least recently used ones fall out of the cache.
     pub fn use_image(&mut self, image: &str, mb: u64, now: Micros) {
+        if let Some(i) = self.images.get_mut(image) {
+            i.1 = now;
+            return;
+        }
         self.images.insert(image.to_owned(), (mb, now));
         while self.images.values().map(|i| i.0).sum::<u64>() > self.kind.cache_mb {
             let oldest = self
--- /dev/null
+++ b/crates/saltpitch-core/src/fleet.rs
@@ -0,0 +1,219 @@
+//! The machines' index, kept up by events: who has room, by type, zone and kind. A pass asks it
+//! instead of looking at every machine.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+use crate::catalog::{MachineType, Res};
+use crate::cluster::Machine;
+use crate::job::Priority;
+use crate::time::Micros;
+
+pub type GroupNo = usize;
+
+/// What the index knows of one machine; lives in the machine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Indexed {
+    /// Free room when it was last indexed as taking tasks.
+    free: Option<Res>,
+    /// Processors that it then gave to batch work.
+    batch: u64,
+}
+
+/// How far the search for one need has come in a group.
+#[derive(Clone, Debug, Default)]
+struct Walk {
+    /// The group had grown this often when the whole of it was found to have no room.
+    full_at: Option<u64>,
+    /// Where a walk that was cut short goes on.
+    after: Option<(u64, Arc<str>)>,
+}
+
+/// Machines of one type, zone and kind.
+#[derive(Debug)]
+pub struct Group {
+    pub kind: Arc<MachineType>,
+    pub zone: Arc<str>,
+    pub spot: bool,
+    pub members: BTreeSet<Arc<str>>,
+    /// Those that take tasks and have processors left, by how many.
+    room: BTreeSet<(u64, Arc<str>)>,
+    /// Counts whenever room appears.
+    grown: u64,
+    walks: HashMap<Res, Walk>,
+    /// Placed tasks by priority.
+    pub load: [u32; 4],
+    /// Processors that its machines give to batch work.
+    pub batch: u64,
+    /// How long an empty machine is kept.
+    pub keep: Micros,
+    /// Where the search for room to be made goes on.
+    pub cursor: Option<Arc<str>>,
+}
+
+/// What a walk over a group's free room came to.
+pub struct Found {
+    pub fits: Vec<Arc<str>>,
+    pub steps: u64,
+}
+
+#[derive(Debug, Default)]
+pub struct Fleet {
+    pub groups: Vec<Group>,
+    by_key: HashMap<(String, Arc<str>, bool, bool), GroupNo>,
+    /// All machines known, by zone.
+    pub by_zone: HashMap<Arc<str>, usize>,
+}
+
+fn place(p: Priority) -> usize {
+    match p {
+        Priority::Low => 0,
+        Priority::Normal => 1,
+        Priority::High => 2,
+        Priority::Production => 3,
+    }
+}
+
+impl Group {
+    /// Whether tasks of a lower priority are here.
+    pub fn has_below(&self, p: Priority) -> bool {
+        self.load[..place(p)].iter().any(|n| *n > 0)
+    }
+
+    /// The next machines in turn, at most `n`.
+    pub fn next_part(&mut self, n: usize) -> Vec<Arc<str>> {
+        let after = self.cursor.take().unwrap_or_else(|| Arc::from(""));
+        let later = self.members.range::<Arc<str>, _>((
+            std::ops::Bound::Excluded(&after),
+            std::ops::Bound::Unbounded,
+        ));
+        let mut part: Vec<Arc<str>> = later.take(n).cloned().collect();
+        if part.len() < n {
+            let rest = n - part.len();
+            let from_start = self.members.iter().take_while(|m| **m <= after);
+            part.extend(from_start.take(rest).cloned());
+        }
+        self.cursor = part.last().cloned();
+        part
+    }
+
+    /// Up to `limit` machines are looked at; those with room for `need`, the fullest first.
+    pub fn walk(&mut self, need: &Res, limit: usize, holds: impl Fn(&str) -> Option<Res>) -> Found {
+        let mut found = Found {
+            fits: Vec::new(),
+            steps: 1,
+        };
+        let walk = self.walks.entry(*need).or_default();
+        if walk.full_at == Some(self.grown) {
+            return found;
+        }
+        let from = match walk.after.take() {
+            Some(after) if after.0 >= need.cpu => {
+                (std::ops::Bound::Excluded(after), std::ops::Bound::Unbounded)
+            }
+            _ => (
+                std::ops::Bound::Included((need.cpu, Arc::from(""))),
+                std::ops::Bound::Unbounded,
+            ),
+        };
+        let whole = matches!(from.0, std::ops::Bound::Included(_));
+        let mut last = None;
+        for entry in self.room.range(from) {
+            if found.steps as usize > limit {
+                last = Some(entry.clone());
+                break;
+            }
+            found.steps += 1;
+            if holds(&entry.1).is_some_and(|free| need.fits(&free)) {
+                found.fits.push(entry.1.clone());
+            }
+        }
+        if found.fits.is_empty() {
+            walk.after = last;
+            if walk.after.is_none() && whole {
+                walk.full_at = Some(self.grown);
+            }
+        }
+        found
+    }
+}
+
+impl Fleet {
+    /// The group of such machines, made if need be.
+    pub fn group(&mut self, kind: &Arc<MachineType>, zone: &Arc<str>, spot: bool) -> GroupNo {
+        // A type that the catalogue did not know had no size: not the same as the one that it knows.
+        let known = !kind.size.is_zero();
+        let key = (kind.name.clone(), zone.clone(), spot, known);
+        if let Some(&g) = self.by_key.get(&key) {
+            return g;
+        }
+        self.groups.push(Group {
+            kind: kind.clone(),
+            zone: zone.clone(),
+            spot,
+            members: BTreeSet::new(),
+            room: BTreeSet::new(),
+            grown: 0,
+            walks: HashMap::new(),
+            load: [0; 4],
+            batch: 0,
+            keep: Micros::from_secs(60),
+            cursor: None,
+        });
+        self.by_key.insert(key, self.groups.len() - 1);
+        self.groups.len() - 1
+    }
+
+    pub fn add(&mut self, m: &mut Machine) {
+        m.group = self.group(&m.kind, &m.zone, m.spot);
+        self.groups[m.group].members.insert(m.name.clone());
+        *self.by_zone.entry(m.zone.clone()).or_default() += 1;
+    }
+
+    pub fn remove(&mut self, m: &mut Machine) {
+        self.set(m, None);
+        self.groups[m.group].members.remove(&m.name);
+        if let Some(n) = self.by_zone.get_mut(&m.zone) {
+            *n -= 1;
+        }
+    }
+
+    /// Anything about the machine that counts for placement may have changed.
+    pub fn update(&mut self, m: &mut Machine) {
+        let free = m.takes_tasks().then(|| m.free());
+        self.set(m, free);
+    }
+
+    fn set(&mut self, m: &mut Machine, free: Option<Res>) {
+        let group = &mut self.groups[m.group];
+        let batch = match free {
+            Some(_) => m.kind.size.cpu.saturating_sub(m.steady_cpu),
+            None => 0,
+        };
+        group.batch = group.batch + batch - m.indexed.batch;
+        m.indexed.batch = batch;
+        let old = m.indexed.free;
+        if old == free {
+            return;
+        }
+        let key = |r: Option<Res>| r.map(|r| r.cpu).filter(|c| *c > 0);
+        if key(old) != key(free) {
+            if let Some(c) = key(old) {
+                group.room.remove(&(c, m.name.clone()));
+            }
+            if let Some(c) = key(free) {
+                group.room.insert((c, m.name.clone()));
+            }
+        }
+        if free.is_some_and(|new| old.is_none_or(|old| !new.fits(&old))) {
+            group.grown += 1;
+        }
+        m.indexed.free = free;
+    }
+
+    /// A task was placed on this machine, or is gone from it.
+    pub fn loaded(&mut self, m: &Machine, p: Priority, more: bool) {
+        let n = &mut self.groups[m.group].load[place(p)];
+        *n = if more { *n + 1 } else { n.saturating_sub(1) };
+    }
+}
--- a/crates/saltpitch-core/src/leader/capacity.rs
+++ b/crates/saltpitch-core/src/leader/capacity.rs
@@ -1,13 +1,13 @@
 //! Machines against need: what to rent and what to return.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::{Effect, Leader};
-use crate::catalog::Res;
+use crate::catalog::{MachineType, Res};
 use crate::cluster::{JobNo, Machine, Phase};
 use crate::gang::Gang;
-use crate::job::{JobSpec, Kind};
+use crate::job::Kind;
 use crate::time::Micros;
 
 /// The most tasks of one job that are planned for at a time: a job of 100,000 tasks must not hold
@@ -44,22 +44,96 @@
     Unknown,
 }
 
-/// Room to come: a machine that boots, is being rented, or is to be rented.
-struct Bin {
-    type_name: String,
-    zone: String,
+/// Room to come in one type, zone and kind: machines that boot, are being rented, or are to be
+/// rented.
+struct Pool {
+    kind: Arc<MachineType>,
+    zone: Arc<str>,
     spot: bool,
-    free: Res,
-    new: bool,
+    /// What is still free on each; those before `first` are full.
+    bins: Vec<Res>,
+    first: usize,
+    /// How many of the bins are to be rented now.
+    new: u32,
+    refused: bool,
+}
+
+/// Bins of one pool that are tried for one job before another machine is thought of.
+const TRIES: usize = 64;
+/// Rentals of one type, zone and kind that are asked for at a time.
+const MAX_RENTS: u32 = 4;
+/// The most machines of one rental.
+const RENTAL: u32 = 50;
+
+impl Pool {
+    /// Takes room for up to `want` tasks; says for how many.
+    fn take(&mut self, need: &Res, want: u64) -> u64 {
+        while self.bins.get(self.first).is_some_and(|b| b.cpu == 0) {
+            self.first += 1;
+        }
+        let mut left = want;
+        for bin in self.bins.iter_mut().skip(self.first).take(TRIES) {
+            let n = need.count_in(bin).min(left);
+            if n > 0 {
+                *bin = bin.minus(&need.times(n));
+                left -= n;
+                if left == 0 {
+                    break;
+                }
+            }
+        }
+        want - left
+    }
+}
+
+fn find<'a>(
+    pools: &'a mut [Pool],
+    type_name: &str,
+    zone: &str,
+    spot: bool,
+) -> Option<&'a mut Pool> {
+    pools
+        .iter_mut()
+        .find(|p| p.kind.name == type_name && &*p.zone == zone && p.spot == spot)
+}
+
+/// How a job's tasks may be spread over zones, and how many it has in each.
+struct Zones {
+    counts: BTreeMap<Arc<str>, u64>,
+    fixed: Option<Arc<str>>,
+    one: bool,
+    cap: u64,
+}
+
+impl Zones {
+    /// How many more tasks may go there.
+    fn room(&self, zone: &Arc<str>) -> u64 {
+        if self.fixed.as_ref().is_some_and(|z| z != zone) {
+            return 0;
+        }
+        self.cap
+            .saturating_sub(self.counts.get(zone).copied().unwrap_or(0))
+    }
+
+    fn add(&mut self, zone: &Arc<str>, n: u64) {
+        *self.counts.entry(zone.clone()).or_default() += n;
+        if self.one {
+            self.fixed = Some(zone.clone());
+        }
+    }
 }
 
 impl Leader {
     /// Rents what the waiting tasks need beyond what is on its way; returns what stands idle.
     pub(super) fn plan_capacity(&mut self, now: Micros) {
-        let mut bins = self.coming(now);
-        let room = self.batch_room(now);
-        let mut work = self.batch_work();
-        let mut team_left: HashMap<String, Res> = HashMap::new();
+        let mut pools = self.pools(now);
+        let room: u64 = (self.fleet.groups.iter())
+            .filter(|g| !crate::placement::contested(&g.kind.size, &self.gpu_needs))
+            .map(|g| g.batch)
+            .sum();
+        // What is running has half of its time left on average.
+        let mut work = (self.batch_placed.max(0.0) / 2.0) as u64 * 1_000;
+        let mut claimed: Vec<Res> = (0..self.quota.len()).map(|t| self.quota.used(t)).collect();
         for w in self.waiting(now) {
             let Some(job) = self.jobs.get(&w.no) else {
                 continue;
@@ -68,247 +142,169 @@
                 continue;
             }
             let spec = job.spec.clone();
-            let used = self.quota.used(&spec.team);
-            let claimed = team_left.entry(spec.team.clone()).or_insert(used);
-            let Some(team) = self.quota.team(&spec.team) else {
+            let (Some(team), Some(claimed)) =
+                (self.quota.team(job.team), claimed.get_mut(job.team))
+            else {
                 continue;
             };
             let idle = job.idle.len() as u64;
             let mut want = team.more(claimed, &spec.need).min(idle);
-            if spec.kind == Kind::Gang && want < idle {
+            if want == 0 || (spec.kind == Kind::Gang && want < idle) {
                 continue;
             }
             *claimed = claimed.plus(&spec.need.times(want));
             if spec.kind == Kind::Array {
-                want = self.unserved(&spec, want, w.slack, room, &mut work);
+                want = self.unserved(w.no, want, w.slack, room, &mut work);
             }
-            let renting = JobSpec {
-                spot: self.spot_wanted(&spec),
-                ..(*spec).clone()
-            };
-            self.reserve(w.no, &renting, want.min(MAX_RESERVED), &mut bins, now);
+            if want == 0 {
+                continue;
+            }
+            let spot = self.spot_wanted(&spec);
+            self.reserve(w.no, spot, want.min(MAX_RESERVED), &mut pools);
         }
-        self.rent(&bins, now);
+        self.rent(&pools, now);
         self.return_idle(now);
         self.repeat_rents(now);
     }
 
-    /// Machines that are booting or being rented, as empty room.
-    fn coming(&self, now: Micros) -> Vec<Bin> {
-        let mut bins = Vec::new();
-        for m in self.machines.values() {
+    /// Every type, zone and kind on offer, with the machines that are booting or being rented as
+    /// empty room.
+    fn pools(&mut self, now: Micros) -> Vec<Pool> {
+        let mut pools = Vec::new();
+        for t in &self.catalog.types {
+            let kind = Arc::new(t.clone());
+            for zone in &t.zones {
+                for spot in [true, false] {
+                    let key = (t.name.clone(), zone.clone(), spot);
+                    pools.push(Pool {
+                        kind: kind.clone(),
+                        zone: zone.as_str().into(),
+                        spot,
+                        bins: Vec::new(),
+                        first: 0,
+                        new: 0,
+                        refused: self.refusals.get(&key).is_some_and(|r| r.until > now),
+                    });
+                }
+            }
+        }
+        self.steps += self.coming.len() as u64;
+        for m in self.coming.iter().filter_map(|n| self.machines.get(n)) {
             let boots = m.phase == Phase::Unheard
-                && m.holds.is_empty()
                 && now.since(m.born) < m.kind.boot.times(3.0).plus(Micros::from_secs(20));
-            let waits = m.phase == Phase::Up && m.fenced_at.is_none() && m.holds.is_empty();
-            if boots || waits {
-                bins.push(Bin {
-                    type_name: m.kind.name.clone(),
-                    zone: m.zone.to_string(),
-                    spot: m.spot,
-                    free: m.free(),
-                    new: false,
-                });
+            if m.holds.is_empty() && (boots || m.phase == Phase::Up) {
+                if let Some(p) = find(&mut pools, &m.kind.name, &m.zone, m.spot) {
+                    p.bins.push(m.free());
+                }
             }
         }
         for r in &self.rents {
-            let Some(kind) = self.catalog.get(&r.type_name) else {
-                continue;
-            };
-            for _ in 0..r.count {
-                bins.push(Bin {
-                    type_name: r.type_name.clone(),
-                    zone: r.zone.clone(),
-                    spot: r.spot,
-                    free: kind.size,
-                    new: false,
-                });
+            if let Some(p) = find(&mut pools, &r.type_name, &r.zone, r.spot) {
+                let size = p.kind.size;
+                p.bins.extend(std::iter::repeat_n(size, r.count as usize));
             }
         }
-        bins
-    }
-
-    /// Processors that the machines already there give to batch work.
-    fn batch_room(&self, now: Micros) -> u64 {
-        let quiet = self.quiet();
-        let mut room = 0u64;
-        for m in self.machines.values().filter(|m| m.takes_tasks(now, quiet)) {
-            let services: u64 = m
-                .holds
-                .iter()
-                .filter_map(|(no, _)| self.jobs.get(no))
-                .filter(|j| j.spec.kind != Kind::Array)
-                .map(|j| j.spec.need.cpu)
-                .sum();
-            if !self.contested_for_any(&m.kind.size) {
-                room += m.kind.size.cpu.saturating_sub(services);
-            }
-        }
-        room
-    }
-
-    /// Batch work on its way: what is running has half of its time left on average.
-    fn batch_work(&self) -> u64 {
-        self.jobs
-            .values()
-            .filter(|j| j.spec.kind == Kind::Array)
-            .map(|j| u64::from(j.placed) * j.spec.need.cpu * self.estimate(&j.spec).0 / 2_000_000)
-            .sum()
-    }
-
-    fn contested_for_any(&self, size: &Res) -> bool {
-        let wanted: Vec<Res> = self.gpu_needs.values().copied().collect();
-        crate::placement::contested(size, &wanted)
+        pools
     }
 
     /// How many of `want` tasks the machines already there won't get to in time, with `work` to be
     /// done before them on `room` processors.
     fn unserved(
         &self,
-        spec: &JobSpec,
+        no: JobNo,
         want: u64,
         slack: Option<Micros>,
         room: u64,
         work: &mut u64,
     ) -> u64 {
+        let Some(job) = self.jobs.get(&no) else {
+            return 0;
+        };
         let drain = self.drain;
         let time = slack.map_or(drain.times(3.0), |s| {
             s.max(drain.times(0.5)).min(drain.times(3.0))
         });
-        let each = (spec.need.cpu * self.estimate(spec).0 / 1_000_000).max(1);
+        let each = (job.spec.need.cpu * self.estimate(job).0 / 1_000_000).max(1);
         let can = (room * time.0 / 1_000_000).saturating_sub(*work);
         *work += want * each;
         want - (can / each).min(want)
     }
 
     /// Puts `want` tasks into the room to come, adding machines to rent where that is short.
-    fn reserve(&self, no: JobNo, spec: &JobSpec, want: u64, bins: &mut Vec<Bin>, now: Micros) {
+    fn reserve(&self, no: JobNo, spot: bool, want: u64, pools: &mut [Pool]) {
         let Some(job) = self.jobs.get(&no) else {
             return;
         };
-        let mut zones: BTreeMap<String, u64> = job
-            .zones
-            .iter()
-            .map(|(z, n)| (z.to_string(), u64::from(*n)))
-            .collect();
-        let cap = u64::from(spec.per_zone());
-        let fixed = if spec.one_zone {
-            job.zones.keys().next().map(|z| z.to_string())
-        } else {
-            None
+        let spec = &job.spec;
+        let one = spec.one_zone;
+        let mut zones = Zones {
+            counts: (job.zones.iter())
+                .map(|(z, n)| (z.clone(), u64::from(*n)))
+                .collect(),
+            fixed: job.zones.keys().next().filter(|_| one).cloned(),
+            one,
+            cap: u64::from(spec.per_zone()),
         };
-        let mut fixed = fixed;
         let mut left = want;
-        while left > 0 {
-            let fits = |zone: &str, zones: &BTreeMap<String, u64>, fixed: &Option<String>| {
-                fixed.as_deref().is_none_or(|z| z == zone)
-                    && (!spec.spread || zones.get(zone).copied().unwrap_or(0) < cap)
-            };
-            let found = bins.iter_mut().find(|b| {
-                spec.need.fits(&b.free)
-                    && spec.allows(&b.type_name, &b.zone, b.spot)
-                    && self.suits_type(spec, &b.type_name)
-                    && fits(&b.zone, &zones, &fixed)
-            });
-            let zone = match found {
-                Some(bin) => {
-                    bin.free = bin.free.minus(&spec.need);
-                    bin.zone.clone()
-                }
-                None => {
-                    let Some(mut bin) =
-                        self.cheapest(spec, left, bins, now, &|z| fits(z, &zones, &fixed))
-                    else {
-                        return;
-                    };
-                    bin.free = bin.free.minus(&spec.need);
-                    let zone = bin.zone.clone();
-                    bins.push(bin);
-                    zone
+        let suits = |p: &Pool| {
+            spec.need.fits(&p.kind.size)
+                && (spot || !p.spot)
+                && spec.allows(&p.kind.name, &p.zone, p.spot)
+                && !self.contested_for(spec, &p.kind.size)
+        };
+        for p in pools.iter_mut().filter(|p| suits(p)) {
+            let n = left.min(zones.room(&p.zone));
+            if n > 0 {
+                let taken = p.take(&spec.need, n);
+                if taken > 0 {
+                    zones.add(&p.zone, taken);
+                    left -= taken;
                 }
-            };
-            if spec.one_zone && fixed.is_none() {
-                fixed = Some(zone.clone());
             }
-            *zones.entry(zone).or_default() += 1;
-            left -= 1;
         }
-    }
-
-    fn suits_type(&self, spec: &JobSpec, name: &str) -> bool {
-        self.catalog
-            .get(name)
-            .is_some_and(|t| !self.contested_for(spec, &t.size))
-    }
-
-    /// The machine that holds a task of this job for the least money, of those that the cloud has
-    /// not just refused.
-    fn cheapest(
-        &self,
-        spec: &JobSpec,
-        left: u64,
-        bins: &[Bin],
-        now: Micros,
-        zone_ok: &dyn Fn(&str) -> bool,
-    ) -> Option<Bin> {
-        let mut best: Option<((u64, u64), Bin)> = None;
-        for t in &self.catalog.types {
-            if !spec.need.fits(&t.size) || self.contested_for(spec, &t.size) {
-                continue;
-            }
-            let per = spec.need.count_in(&t.size).min(left).max(1);
-            for zone in &t.zones {
-                for spot in [true, false] {
-                    if !spec.allows(&t.name, zone, spot) || !zone_ok(zone) {
-                        continue;
-                    }
-                    let key = (t.name.clone(), zone.clone(), spot);
-                    if self.refusals.get(&key).is_some_and(|r| r.until > now) {
-                        continue;
-                    }
-                    let cost = t.price_of(spot) * 1_000 / per;
-                    // Between equals, the zone with less of it.
-                    let there = bins.iter().filter(|b| b.zone == *zone).count()
-                        + self.machines.values().filter(|m| &*m.zone == zone).count();
-                    let rank = (cost, there as u64);
-                    if best.as_ref().is_none_or(|b| rank < b.0) {
-                        best = Some((
-                            rank,
-                            Bin {
-                                type_name: t.name.clone(),
-                                zone: zone.clone(),
-                                spot,
-                                free: t.size,
-                                new: true,
-                            },
-                        ));
-                    }
-                }
-            }
+        // The machine that holds a task of this job for the least money, of those that the cloud has
+        // not just refused; between equals, the zone with less of it.
+        while left > 0 {
+            let there =
+                |p: &Pool| self.fleet.by_zone.get(&p.zone).copied().unwrap_or(0) + p.new as usize;
+            let best = (pools.iter_mut())
+                .filter(|p| suits(p) && !p.refused && zones.room(&p.zone) > 0)
+                .min_by_key(|p| {
+                    let per = spec.need.count_in(&p.kind.size).min(left).max(1);
+                    (p.kind.price_of(p.spot) * 1_000 / per, there(p))
+                });
+            let Some(p) = best else { return };
+            let n = spec
+                .need
+                .count_in(&p.kind.size)
+                .min(left)
+                .min(zones.room(&p.zone));
+            p.bins.push(p.kind.size.minus(&spec.need.times(n)));
+            p.new += 1;
+            zones.add(&p.zone, n);
+            left -= n;
         }
-        best.map(|b| b.1)
     }
 
-    fn rent(&mut self, bins: &[Bin], now: Micros) {
-        let mut counts: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
-        for b in bins.iter().filter(|b| b.new) {
-            *counts
-                .entry((b.type_name.clone(), b.zone.clone(), b.spot))
-                .or_default() += 1;
-        }
-        for ((type_name, zone, spot), count) in counts {
-            // A request's name is never used again: the term is this leader's alone.
-            let request = format!("t{}-{}", self.term, self.next_request);
-            self.next_request += 1;
-            self.rents.push(Renting {
-                request,
-                type_name,
-                zone,
-                spot,
-                count: count.min(50),
-                out: false,
-                after: now,
-            });
+    fn rent(&mut self, pools: &[Pool], now: Micros) {
+        for p in pools {
+            let mut count = p.new.min(RENTAL * MAX_RENTS);
+            while count > 0 {
+                // A request's name is never used again: the term is this leader's alone.
+                let request = format!("t{}-{}", self.term, self.next_request);
+                self.next_request += 1;
+                let part = count.min(RENTAL);
+                count -= part;
+                self.rents.push(Renting {
+                    request,
+                    type_name: p.kind.name.clone(),
+                    zone: p.zone.to_string(),
+                    spot: p.spot,
+                    count: part,
+                    out: false,
+                    after: now,
+                });
+            }
         }
     }
 
@@ -346,13 +342,15 @@
                     return;
                 };
                 let kind = Arc::new(kind);
+                let zone: Arc<str> = r.zone.as_str().into();
                 for n in names {
                     if self.machines.contains_key(n.as_str()) {
                         continue;
                     }
-                    let m = Machine::new(&n, kind.clone(), &r.zone, r.spot, "", now);
-                    self.dirty_machines.insert(m.name.clone());
-                    self.machines.insert(m.name.clone(), m);
+                    let mut m = Machine::new(&n, kind.clone(), zone.clone(), r.spot, "", now);
+                    self.blocks
+                        .changed(&mut m, now.plus(Micros::from_millis(300)));
+                    self.add_machine(m);
                 }
             }
             Rented::NoCapacity => {
@@ -390,12 +388,13 @@
 
     fn return_idle(&mut self, now: Micros) {
         let mut back = Vec::new();
-        for m in self.machines.values() {
+        self.steps += self.empty.len() as u64;
+        for m in self.empty.iter().filter_map(|n| self.machines.get(n)) {
             if !m.holds.is_empty() || m.has_live_strays() {
                 continue;
             }
             let idle = now.since(m.idle_since);
-            let keep = m.keep;
+            let keep = self.fleet.groups[m.group].keep;
             let stale = match m.phase {
                 Phase::Up => m.condemned || idle > keep || now.since(m.wanted_at) > keep,
                 // Some never come up.
@@ -410,7 +409,7 @@
             }
         }
         for name in back {
-            self.give_back(&name);
+            self.give_back(&name, now);
         }
     }
 }
--- a/crates/saltpitch-core/src/leader/commit.rs
+++ b/crates/saltpitch-core/src/leader/commit.rs
@@ -1,19 +1,226 @@
 //! Records against memory: one transaction at a time, conditioned on the term and on the jobs.
 
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use serde::Serialize;
 
-use super::{Effect, Leader, Write};
-use crate::cluster::{JobNo, Phase};
+use super::{Config, Effect, Leader, Write};
+use crate::cluster::{JobNo, Machine, Phase};
 use crate::gang::Gang;
-use crate::job::{JobState, Kind};
+use crate::job::{JobSpec, JobState, Kind, Priority};
 use crate::records::{
-    chunk_key, job_key, machine_key, ChunkRecord, JobRecord, MachineRecord, PlaceRecord, View,
-    CHUNK, TERM_KEY,
+    block_key, chunk_key, job_key, BlockRecord, ChunkRecord, JobRecord, MachineRecord, PlaceRecord,
+    View, BLOCK, CHUNK, TERM_KEY,
 };
 use crate::time::Micros;
 
+/// Between two transactions, so that changes gather and requests stay within the store's rate.
+const GAP: Micros = Micros::from_millis(50);
+/// How long an outcome waits for others of its chunk: users expect `done` only 3 s after the fact.
+const GATHER: Micros = Micros::from_millis(400);
+
+/// Chunks that differ from their records, in the order in which they are to be written.
+#[derive(Default)]
+pub(super) struct Dirty {
+    due: HashMap<(JobNo, u32), Micros>,
+    queue: BTreeSet<(Micros, JobNo, u32)>,
+}
+
+impl Dirty {
+    fn mark(&mut self, no: JobNo, chunk: u32, due: Micros) {
+        let old = self.due.get(&(no, chunk)).copied();
+        if old.is_some_and(|old| old <= due) {
+            return;
+        }
+        if let Some(old) = old {
+            self.queue.remove(&(old, no, chunk));
+        }
+        self.due.insert((no, chunk), due);
+        self.queue.insert((due, no, chunk));
+    }
+
+    /// Tasks were placed: production goes before gangs, and both before batch work, whose chunks
+    /// must not keep them waiting when changes are scarce.
+    pub fn placement(&mut self, no: JobNo, chunk: u32, spec: &JobSpec, now: Micros) {
+        let ahead = match (spec.priority, spec.kind) {
+            (Priority::Production, _) => 8,
+            (_, Kind::Gang) => 4,
+            _ => 0,
+        };
+        self.mark(no, chunk, now.since(Micros::from_secs(ahead)));
+    }
+
+    /// Tasks ended: that can wait a little.
+    pub fn outcome(&mut self, no: JobNo, chunk: u32, now: Micros) {
+        self.mark(no, chunk, now.plus(GATHER));
+    }
+
+    pub fn contains(&self, no: JobNo, chunk: u32) -> bool {
+        self.due.contains_key(&(no, chunk))
+    }
+
+    pub fn len(&self) -> usize {
+        self.due.len()
+    }
+
+    fn remove(&mut self, no: JobNo, chunk: u32) {
+        if let Some(due) = self.due.remove(&(no, chunk)) {
+            self.queue.remove(&(due, no, chunk));
+        }
+    }
+
+    fn jobs(&self) -> Vec<JobNo> {
+        let mut all: Vec<JobNo> = self.due.keys().map(|k| k.0).collect();
+        all.sort_unstable();
+        all.dedup();
+        all
+    }
+}
+
+/// Machines of one type, zone and kind that share a record.
+struct Block {
+    type_name: String,
+    zone: Arc<str>,
+    spot: bool,
+    members: BTreeSet<Arc<str>>,
+    bytes: usize,
+}
+
+/// The machines' records.
+pub(super) struct Blocks {
+    all: BTreeMap<u32, Block>,
+    /// The block that takes the next machine of a type, zone and kind.
+    open: HashMap<(String, Arc<str>, bool), u32>,
+    next: u32,
+    due: BTreeMap<u32, Micros>,
+    max_bytes: usize,
+}
+
+impl Blocks {
+    pub fn new(view: &View, cfg: &Config) -> Blocks {
+        let mut b = Blocks {
+            all: BTreeMap::new(),
+            open: HashMap::new(),
+            next: 1,
+            due: BTreeMap::new(),
+            max_bytes: cfg.value_bytes * 3 / 4,
+        };
+        for (no, (_, rec)) in &view.blocks {
+            b.next = b.next.max(no + 1);
+            let members = rec.machines.iter().map(|m| m.0.as_str().into()).collect();
+            b.all.insert(
+                *no,
+                Block {
+                    type_name: rec.type_name.clone(),
+                    zone: rec.zone.as_str().into(),
+                    spot: rec.spot,
+                    members,
+                    bytes: rec.machines.iter().map(|m| bytes_of(&m.0, &m.1)).sum(),
+                },
+            );
+        }
+        b
+    }
+
+    pub fn dirty(&self) -> usize {
+        self.due.len()
+    }
+
+    fn mark(&mut self, no: u32, due: Micros) {
+        let slot = self.due.entry(no).or_insert(due);
+        *slot = (*slot).min(due);
+    }
+
+    /// The machine's record is to be written, together with others that change soon.
+    pub fn changed(&mut self, m: &mut Machine, due: Micros) {
+        let no = match m.block {
+            Some(no) => no,
+            None => {
+                let no = self.place(m);
+                m.block = Some(no);
+                no
+            }
+        };
+        self.mark(no, due);
+    }
+
+    fn place(&mut self, m: &Machine) -> u32 {
+        let key = (m.kind.name.clone(), m.zone.clone(), m.spot);
+        // The address is not known yet: a usual one's length is set aside.
+        let bytes = bytes_of(&m.name, "255.255.255.255:65535");
+        if let Some((no, b)) = self
+            .open
+            .get(&key)
+            .and_then(|no| self.all.get_mut(no).map(|b| (*no, b)))
+        {
+            if b.members.len() < BLOCK && b.bytes + bytes <= self.max_bytes {
+                b.members.insert(m.name.clone());
+                b.bytes += bytes;
+                return no;
+            }
+        }
+        let no = self.next;
+        self.next += 1;
+        self.all.insert(
+            no,
+            Block {
+                type_name: key.0.clone(),
+                zone: key.1.clone(),
+                spot: key.2,
+                members: BTreeSet::from([m.name.clone()]),
+                bytes,
+            },
+        );
+        self.open.insert(key, no);
+        no
+    }
+
+    /// The machine is proven gone.
+    pub fn leave(&mut self, m: &Machine, now: Micros) {
+        let Some(no) = m.block else { return };
+        if let Some(b) = self.all.get_mut(&no) {
+            b.members.remove(&m.name);
+            // What was freed is not counted on: addresses differ in length.
+            self.mark(no, now.plus(Micros::from_secs(1)));
+        }
+    }
+}
+
+fn bytes_of(name: &str, addr: &str) -> usize {
+    name.len() + addr.len() + 40
+}
+
+/// The store's rate of changes, as far as the leader may use it.
+pub(super) struct Pace {
+    rate: f64,
+    level: f64,
+    at: Micros,
+}
+
+impl Pace {
+    pub fn new(rate: f64, now: Micros) -> Pace {
+        Pace {
+            rate,
+            level: rate * 0.5,
+            at: now,
+        }
+    }
+
+    fn level(&mut self, ops: usize, now: Micros) -> f64 {
+        let cap = (self.rate * 0.5).max(ops as f64);
+        self.level = (self.level + now.since(self.at).as_secs_f64() * self.rate).min(cap);
+        self.at = now;
+        self.level
+    }
+
+    /// When `n` more changes may be written.
+    fn ready(&self, n: f64) -> Micros {
+        let wait = ((n - self.level) / self.rate).max(0.0);
+        self.at.plus(Micros::from_secs_f64(wait))
+    }
+}
+
 /// What became of a transaction.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
@@ -26,13 +233,15 @@
     Unknown,
 }
 
+/// Machines of a block, and whether the return of each is intended.
+type Members = Vec<(Arc<str>, bool)>;
+
 /// The transaction under way.
 #[derive(Default)]
 pub(super) struct Pending {
     chunks: Vec<(JobNo, u32)>,
     finals: Vec<JobNo>,
-    machines: Vec<(Arc<str>, bool)>,
-    gone: Vec<Arc<str>>,
+    blocks: Vec<(u32, Members)>,
     leftovers: Vec<String>,
 }
 
@@ -68,35 +277,50 @@
 }
 
 impl Leader {
-    pub(super) fn has_writes(&self) -> bool {
-        self.txn.is_none()
-            && !self.paused
-            && !(self.dirty.is_empty()
-                && self.final_jobs.is_empty()
-                && self.dirty_machines.is_empty()
-                && self.gone_machines.is_empty()
-                && self.leftovers.is_empty())
+    /// When there is something to write, none being under way.
+    pub(super) fn writes_due(&self) -> Option<Micros> {
+        if self.txn.is_some() || (self.paused && self.refresh_out) {
+            return None;
+        }
+        if self.paused || !self.final_jobs.is_empty() || !self.leftovers.is_empty() {
+            return Some(Micros::ZERO);
+        }
+        let chunk = self.dirty.queue.first().map(|d| d.0);
+        let block = self.blocks.due.values().min().copied();
+        chunk.into_iter().chain(block).min()
     }
 
     /// Sends the next transaction if there is something to write and none is under way.
     pub(super) fn commit(&mut self, now: Micros) {
-        if self.paused && !self.refresh_out && now >= self.next_txn {
+        if now < self.next_txn || self.writes_due().is_none_or(|due| due > now) {
+            return;
+        }
+        if self.paused {
             self.refresh_out = true;
             self.effects.push(Effect::Refresh);
+            return;
         }
-        if !self.has_writes() || now < self.next_txn {
+        let level = self.pace.level(self.cfg.txn_ops, now);
+        let ops = self.cfg.txn_ops.min(level as usize);
+        if ops == 0 {
+            self.next_txn = self.pace.ready(1.0).max(now.plus(Micros::from_millis(10)));
             return;
         }
-        let (ops, max) = (self.cfg.txn_ops, self.cfg.txn_bytes);
+        let max = self.cfg.txn_bytes;
         let mut b = Batch {
             when: vec![(TERM_KEY.to_owned(), self.term_rev)],
             writes: Vec::new(),
             bytes: 100,
         };
         let mut p = Pending::default();
+        // What is urgent is never behind what is merely many.
+        let urgent = now.since(Micros::from_secs(1));
+        self.add_chunks(&mut b, &mut p, ops, max, urgent);
+        let half = b.writes.len() + (ops - b.writes.len()).div_ceil(2);
+        self.add_finals(&mut b, &mut p, half, max);
+        self.add_blocks(&mut b, &mut p, ops, max, now);
+        self.add_chunks(&mut b, &mut p, ops, max, now);
         self.add_finals(&mut b, &mut p, ops, max);
-        self.add_machines(&mut b, &mut p, ops, max, now);
-        self.add_chunks(&mut b, &mut p, ops, max);
         while let Some(key) = self.leftovers.front().cloned() {
             if !b.fits(ops, 1, 300, max) {
                 break;
@@ -106,8 +330,11 @@
             p.leftovers.push(key);
         }
         if b.writes.is_empty() {
+            // Nothing that is due fits: more changes are needed at once than may be written now.
+            self.next_txn = self.pace.ready(level + 1.0);
             return;
         }
+        self.pace.level -= b.writes.len() as f64;
         self.txn = Some(p);
         self.effects.push(Effect::Txn {
             when: b.when,
@@ -116,8 +343,7 @@
     }
 
     fn add_finals(&mut self, b: &mut Batch, p: &mut Pending, ops: usize, max: usize) {
-        let finals: Vec<JobNo> = self.final_jobs.iter().copied().collect();
-        for no in finals {
+        while let Some(&no) = self.final_jobs.first() {
             let Some(job) = self.jobs.get(&no) else {
                 self.final_jobs.remove(&no);
                 continue;
@@ -139,56 +365,70 @@
                 }),
             );
             self.final_jobs.remove(&no);
-            self.dirty.retain(|d| d.0 != no);
+            for c in 0..job.chunk_revs.len() {
+                self.dirty.remove(no, c as u32);
+            }
             p.finals.push(no);
         }
     }
 
-    fn add_machines(
-        &mut self,
-        b: &mut Batch,
-        p: &mut Pending,
-        ops: usize,
-        max: usize,
-        now: Micros,
-    ) {
-        let names: Vec<Arc<str>> = self.dirty_machines.iter().cloned().collect();
-        for name in names {
-            if !b.fits(ops, 1, 700, max) {
-                return;
-            }
-            self.dirty_machines.remove(&name);
-            let Some(m) = self.machines.get(&name) else {
+    fn add_blocks(&mut self, b: &mut Batch, p: &mut Pending, ops: usize, max: usize, now: Micros) {
+        let due: Vec<u32> = (self.blocks.due.iter())
+            .filter(|d| *d.1 <= now)
+            .map(|d| *d.0)
+            .collect();
+        for no in due {
+            let Some(block) = self.blocks.all.get(&no) else {
+                self.blocks.due.remove(&no);
                 continue;
             };
-            let returning = matches!(m.phase, Phase::Returning(_));
-            let rec = MachineRecord {
-                type_name: m.kind.name.clone(),
-                zone: m.zone.to_string(),
-                spot: m.spot,
-                addr: m.addr.clone(),
-                returning,
-                born: self.wall_of(m.born, now),
+            let mut rec = BlockRecord {
+                type_name: block.type_name.clone(),
+                zone: block.zone.to_string(),
+                spot: block.spot,
+                machines: Vec::with_capacity(block.members.len()),
             };
-            b.write(machine_key(&name), json(&rec));
-            p.machines.push((name, returning));
-        }
-        let gone: Vec<Arc<str>> = self.gone_machines.iter().cloned().collect();
-        for name in gone {
-            if !b.fits(ops, 1, 300, max) {
+            let mut members = Vec::with_capacity(block.members.len());
+            for m in block.members.iter().filter_map(|n| self.machines.get(n)) {
+                let returning = matches!(m.phase, Phase::Returning(_));
+                let (name, addr) = (m.name.to_string(), m.addr.clone());
+                rec.machines.push(MachineRecord(
+                    name,
+                    addr,
+                    returning,
+                    self.wall_of(m.born, now),
+                ));
+                members.push((m.name.clone(), returning));
+            }
+            let value = if rec.machines.is_empty() {
+                None
+            } else {
+                json(&rec)
+            };
+            let bytes = value.as_ref().map_or(0, String::len);
+            if !b.fits(ops, 1, bytes + 200, max) {
                 return;
             }
-            self.gone_machines.remove(&name);
-            b.write(machine_key(&name), None);
-            p.gone.push(name);
+            self.blocks.due.remove(&no);
+            if value.is_none() {
+                let key = (block.type_name.clone(), block.zone.clone(), block.spot);
+                if self.blocks.open.get(&key) == Some(&no) {
+                    self.blocks.open.remove(&key);
+                }
+            }
+            b.write(block_key(no), value);
+            p.blocks.push((no, members));
         }
     }
 
-    fn add_chunks(&mut self, b: &mut Batch, p: &mut Pending, ops: usize, max: usize) {
-        let dirty: Vec<(JobNo, u32)> = self.dirty.iter().copied().collect();
-        for (no, c) in dirty {
+    /// Adds the chunks that were due by `by`.
+    fn add_chunks(&mut self, b: &mut Batch, p: &mut Pending, ops: usize, max: usize, by: Micros) {
+        while let Some(&(due, no, c)) = self.dirty.queue.first() {
+            if due > by {
+                return;
+            }
             let Some(job) = self.jobs.get_mut(&no) else {
-                self.dirty.remove(&(no, c));
+                self.dirty.remove(no, c);
                 continue;
             };
             // A gang's members go on record at quorum, not before.
@@ -199,7 +439,7 @@
             if !b.fits(ops, 1, value.len() + 200, max) {
                 return;
             }
-            self.dirty.remove(&(no, c));
+            self.dirty.remove(no, c);
             b.when(job_key(&job.id), job.rev);
             let key = chunk_key(&job.id, c);
             b.when(key.clone(), job.chunk_revs[c as usize]);
@@ -223,7 +463,7 @@
             Outcome::Done(rev) => self.apply_commit(p, rev, now),
             _ => {
                 let refused = outcome == Outcome::Refused;
-                self.undo_commit(p);
+                self.undo_commit(p, now);
                 let wait = if refused { 300 } else { 20 };
                 self.next_txn = now.plus(Micros::from_millis(wait));
                 // Refused outright, nothing has changed; otherwise the revisions are in doubt.
@@ -236,15 +476,32 @@
         for no in p.finals {
             self.finish_job(no);
         }
-        for (name, returning) in p.machines {
-            if let Some(m) = self.machines.get_mut(&name) {
+        for (no, members) in p.blocks {
+            if members.is_empty()
+                && self
+                    .blocks
+                    .all
+                    .get(&no)
+                    .is_some_and(|b| b.members.is_empty())
+            {
+                self.blocks.all.remove(&no);
+            }
+            for (name, returning) in members {
+                let Some(m) = self.machines.get_mut(&name) else {
+                    continue;
+                };
+                let news = !m.recorded;
                 m.recorded = true;
                 if returning && m.phase == Phase::Returning(false) {
                     m.phase = Phase::Returning(true);
+                    self.look_at(&name, now);
+                } else if news {
+                    self.reindex(&name);
                 }
             }
         }
         let mut stops = Vec::new();
+        let mut calls = Vec::new();
         for (no, c) in p.chunks {
             let Some(job) = self.jobs.get_mut(&no) else {
                 continue;
@@ -258,7 +515,9 @@
                     if place.in_txn {
                         place.in_txn = false;
                         place.committed = true;
-                        self.push.insert(place.machine.clone());
+                        if job.spec.kind != Kind::Gang {
+                            calls.push(place.machine.clone());
+                        }
                     }
                 }
             }
@@ -273,39 +532,41 @@
                 job.gang = Gang::Allowed;
                 for t in &job.tasks {
                     if let Some(place) = &t.place {
-                        self.push.insert(place.machine.clone());
+                        calls.push(place.machine.clone());
                     }
                 }
             }
             if cancelled {
                 stops.push(no);
             }
-            // Exits that are on record now may be forgotten by their workers.
-            self.push_strays(no);
+        }
+        for name in calls {
+            self.call(&name);
         }
         for no in stops {
             self.stop_all(no, Micros::ZERO, now);
         }
-        self.next_txn = now.plus(Micros::from_millis(30));
+        self.next_txn = now.plus(GAP);
         self.schedule_wanted = true;
     }
 
-    fn undo_commit(&mut self, p: Pending) {
+    fn undo_commit(&mut self, p: Pending, now: Micros) {
         for (no, c) in &p.chunks {
             if let Some(job) = self.jobs.get_mut(no) {
-                for t in &mut job.tasks {
+                let lo = c * CHUNK;
+                let hi = (lo + CHUNK).min(job.spec.tasks);
+                for t in &mut job.tasks[lo as usize..hi as usize] {
                     if let Some(place) = t.place.as_mut() {
                         place.in_txn = false;
                     }
                 }
-                self.dirty.insert((*no, *c));
+                self.dirty.placement(*no, *c, &job.spec, now);
             }
         }
         self.final_jobs.extend(p.finals);
-        for (name, _) in p.machines {
-            self.dirty_machines.insert(name);
+        for (no, _) in p.blocks {
+            self.blocks.mark(no, now);
         }
-        self.gone_machines.extend(p.gone);
         self.leftovers.extend(p.leftovers);
     }
 
@@ -318,8 +579,9 @@
         };
         self.paused = false;
         self.next_txn = now;
-        let mut touched: Vec<JobNo> = self.dirty.iter().map(|d| d.0).collect();
+        let mut touched: Vec<JobNo> = self.dirty.jobs();
         touched.extend(self.final_jobs.iter());
+        touched.sort_unstable();
         touched.dedup();
         for no in touched {
             let Some(job) = self.jobs.get_mut(&no) else {
@@ -338,7 +600,6 @@
             if over {
                 self.final_jobs.remove(&no);
                 self.finish_job(no);
-                self.dirty.retain(|d| d.0 != no);
             } else {
                 self.job_changed(view, &id, now, wall);
             }
@@ -348,30 +609,20 @@
 
     /// The final record is written: the job leaves memory, its chunks are deleted by and by.
     fn finish_job(&mut self, no: JobNo) {
-        self.push_strays(no);
+        self.close(no);
         let Some(job) = self.jobs.remove(&no) else {
             return;
         };
         self.by_id.remove(&job.id);
+        self.at_barrier.remove(&no);
         for (c, rev) in job.chunk_revs.iter().enumerate() {
+            self.dirty.remove(no, c as u32);
             if *rev > 0 {
                 self.leftovers.push_back(chunk_key(&job.id, c as u32));
             }
         }
     }
 
-    /// Workers that still list exited tasks of this job are to be told to forget them.
-    fn push_strays(&mut self, no: JobNo) {
-        let Some(job) = self.jobs.get(&no) else {
-            return;
-        };
-        for m in self.machines.values() {
-            if m.strays.iter().any(|s| s.job == *job.id) {
-                self.push.insert(m.name.clone());
-            }
-        }
-    }
-
     /// Whether this chunk is part of the transaction under way.
     pub(super) fn in_flight(&self, no: JobNo, chunk: u32) -> bool {
         self.txn
@@ -391,7 +642,7 @@
     for (i, t) in tasks.iter().enumerate() {
         rec.attempts.push(t.attempt);
         if t.done {
-            rec.done |= 1 << i;
+            rec.add_done(i as u32);
         }
         if let Some(p) = &t.place {
             if !holding || p.committed {
--- a/crates/saltpitch-core/src/leader/evidence.rs
+++ b/crates/saltpitch-core/src/leader/evidence.rs
@@ -1,9 +1,10 @@
 //! What workers and the cloud say: which tasks are where, which are proven gone, and the orders
 //! that make machines what they should be.
 
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-use super::{Effect, Leader, Seen, Stop};
+use super::{Effect, Leader, Seen};
 use crate::catalog::MachineType;
 use crate::cluster::{Cause, JobNo, Machine, Order, Phase, Report, SeenTask, TaskState};
 use crate::gang::Gang;
@@ -12,6 +13,11 @@
 
 /// The most orders sent to one machine at a time: keeps an answer's line below its limit.
 const MAX_ORDERS: usize = 200;
+/// The most direct calls under way at a time: they must not crowd out reports and users.
+const MAX_CALLS: usize = 24;
+const MAX_PROBES: usize = 24;
+/// How long a direct order has to show an effect before it is repeated.
+const REPEAT: Micros = Micros::from_millis(1_500);
 
 /// One entry of the cloud's list of machines.
 #[derive(Clone, Debug, PartialEq)]
@@ -49,6 +55,8 @@
     NewerToken,
     /// Not a machine that we know the type of.
     UnknownType,
+    /// A copy of a report that was answered, or of one that its worker has long given up.
+    Repeated,
 }
 
 impl Leader {
@@ -72,15 +80,29 @@
             // Its return may be under way: its lease must not be renewed behind that.
             return Err(Ignored::Returned);
         }
+        // A worker has one report in flight: by sending a later one it has given up all before it,
+        // and the lease counts from when a report was sent. So a copy that comes late renews
+        // nothing, and nobody listens for an answer to it.
+        if session == m.session && seq <= m.report_seq {
+            return Err(Ignored::Repeated);
+        }
         m.last_answer = m.last_answer.max(now);
+        let token = r.token;
+        // Its sequence number counts reports to any node.
+        let stays = self.cfg.nodes > 1 && session == m.session && seq == m.seq + 1;
+        let stays = stays && m.report_seq > 0;
         self.learn(&name, r, true, now);
+        let (term, lately) = (self.term, self.lately());
         let Some(m) = self.machines.get_mut(&name) else {
             return Err(Ignored::Returned);
         };
         if session < m.session {
             return Err(Ignored::OldSession);
         }
+        m.deaf.reported(token, seq, stays, lately, now);
+        m.deaf.told(term, token, seq);
         m.report_seq = m.report_seq.max(seq);
+        self.reindex(&name);
         let orders = self.orders_for(&name, Some(seq));
         self.push.remove(&name);
         Ok(orders)
@@ -96,33 +118,48 @@
             .get(&r.type_name)
             .cloned()
             .ok_or(Ignored::UnknownType)?;
-        let m = Machine::new(&r.machine, Arc::new(kind), &r.zone, r.spot, &r.addr, now);
+        let zone = r.zone.as_str().into();
+        let mut m = Machine::new(&r.machine, Arc::new(kind), zone, r.spot, &r.addr, now);
         let name = m.name.clone();
-        self.machines.insert(name.clone(), m);
-        self.dirty_machines.insert(name.clone());
+        self.blocks.changed(&mut m, now);
+        self.add_machine(m);
         Ok(name)
     }
 
+    /// What a machine showed within this time still holds.
+    fn lately(&self) -> Micros {
+        self.cfg.report.times(2.5).plus(Micros::from_secs(1))
+    }
+
     /// What a machine said in answer to a probe.
     pub fn heard_directly(&mut self, r: Report, now: Micros) {
-        if let Some(name) = self
-            .machines
-            .get(r.machine.as_str())
-            .map(|m| m.name.clone())
-        {
+        let lately = self.lately();
+        // Whoever answered at that address: the probe is over.
+        self.probes_out = self.probes_out.saturating_sub(1);
+        if let Some(m) = self.machines.get_mut(r.machine.as_str()) {
+            let name = m.name.clone();
+            m.deaf.called(true, lately, now);
             self.learn(&name, r, false, now);
+            self.reindex(&name);
         }
     }
 
     /// A probe got no answer.
-    pub fn probe_failed(&mut self, name: &str) {
+    pub fn probe_failed(&mut self, name: &str, now: Micros) {
+        let lately = self.lately();
+        self.probes_out = self.probes_out.saturating_sub(1);
         if let Some(m) = self.machines.get_mut(name) {
             m.probes_failed += 1;
+            m.deaf.called(false, lately, now);
+            let name = m.name.clone();
+            self.reindex(&name);
+            self.look_at(&name, now);
         }
     }
 
     /// Takes in what a machine says, if it is newer than what is known.
     fn learn(&mut self, name: &Arc<str>, r: Report, by_report: bool, now: Micros) {
+        let lately = self.lately();
         let quiet_news = {
             let Some(m) = self.machines.get_mut(name) else {
                 return;
@@ -138,10 +175,18 @@
                 self.schedule_wanted = true;
             }
             if m.addr != r.addr {
-                m.addr = r.addr.clone();
-                self.dirty_machines.insert(name.clone());
+                m.addr.clone_from(&r.addr);
+                // Only a later leader needs it, and the cloud's list has it too.
+                let due = if m.recorded {
+                    now.plus(Micros::from_secs(2))
+                } else {
+                    now
+                };
+                self.blocks.changed(m, due);
             }
             m.last_heard = now;
+            m.silent = false;
+            self.last_heard = now;
             m.probes_failed = 0;
             m.token = m.token.max(r.token);
             if m.fenced_at.is_none() && m.token >= self.office_term {
@@ -152,12 +197,19 @@
                 m.doubt = None;
             }
             m.seq = r.seq;
+            if r.session > m.session || m.session_since == Micros::ZERO {
+                m.session_since = now;
+            }
             if r.session > m.session {
                 m.doubt = None;
                 m.report_seq = 0;
                 m.start_seq = 0;
                 if m.session > 0 {
                     m.forget_images();
+                    // Its lease ran out although we answered its reports: it did not hear us.
+                    let recent = now.since(m.last_answer) < self.cfg.lease;
+                    m.deaf
+                        .new_session(by_report && m.fenced_at.is_some() && recent, lately, now);
                 }
             }
             m.session = r.session;
@@ -173,41 +225,42 @@
     }
 
     fn match_tasks(&mut self, name: &Arc<str>, r: Report, by_report: bool, now: Micros) {
-        let held: Vec<(JobNo, u32)> = match self.machines.get(name) {
-            Some(m) => m.holds.iter().copied().collect(),
-            None => return,
+        let Some(m) = self.machines.get(name) else {
+            return;
         };
-        let mut tasks = r.tasks;
+        // Held tasks that the report has not mentioned: what stays in here is not on the machine.
+        let mut missing: BTreeSet<(JobNo, u32)> = m.holds.clone();
+        self.steps += 1;
+        let mut strays = Vec::new();
         let mut lost = Vec::new();
-        for (no, task) in held {
-            let Some(job) = self.jobs.get_mut(&no) else {
-                continue;
-            };
-            let Some(place) = job.tasks[task as usize].place.as_deref_mut() else {
-                continue;
+        let had = !m.strays.is_empty();
+        let mut known: Option<(String, JobNo)> = None;
+        for seen in r.tasks {
+            // Tasks of a job stand together in a report.
+            let no = match &known {
+                Some((id, no)) if *id == seen.job => Some(*no),
+                _ => self.by_id.get(seen.job.as_str()).copied(),
             };
-            if place.session < r.session {
-                // The session that it was in is over: the worker killed and forgot it.
-                lost.push((no, task, None));
-                continue;
-            }
-            let at = tasks
-                .iter()
-                .position(|t| t.task == task && t.attempt == place.attempt && t.job == *job.id);
-            let Some(at) = at else {
-                let m = &self.machines[name];
-                let fenced = m.fenced_at.is_some() && m.doubt.is_none() && !m.orders_out;
-                let unsent = !place.sent
-                    || (fenced && by_report && place.sent_seq < r.seq && place.stop.is_some());
-                if place.seen != Seen::No || (place.stop.is_some() && unsent) {
-                    lost.push((no, task, None));
-                }
+            let held = no.filter(|no| m.holds.contains(&(*no, seen.task)));
+            let place = held.and_then(|no| {
+                known = Some((seen.job.clone(), no));
+                let job = self.jobs.get_mut(&no)?;
+                let place = job.tasks[seen.task as usize].place.as_deref_mut()?;
+                (place.session == r.session && place.attempt == seen.attempt).then_some((no, place))
+            });
+            let Some((no, place)) = place else {
+                strays.push(seen);
                 continue;
             };
-            let seen = tasks.swap_remove(at);
+            missing.remove(&(no, seen.task));
             place.sent = true;
             match seen.state {
-                TaskState::Exited { cause, saved } => lost.push((no, task, Some((cause, saved)))),
+                TaskState::Exited { cause, saved } => {
+                    lost.push((no, seen.task, Some((cause, saved))));
+                    // Listed until it is told to forget it, once the outcome is on record.
+                    strays.push(seen);
+                    continue;
+                }
                 TaskState::Fetching => place.seen = Seen::Fetching,
                 TaskState::Waiting => place.seen = Seen::Waiting,
                 TaskState::Saving => place.seen = Seen::Saving,
@@ -218,20 +271,41 @@
                     place.seen = Seen::Running;
                 }
             }
-            if matches!(seen.state, TaskState::Exited { .. }) {
-                // Listed until it is told to forget it, once the outcome is on record.
-                tasks.push(seen);
-            } else if place.seen != Seen::Fetching {
-                let (image, mb) = (job.spec.image.clone(), job.spec.image_mb);
-                if let Some(m) = self.machines.get_mut(name) {
-                    m.use_image(&image, mb, now);
+        }
+        let fenced = m.fenced_at.is_some() && m.doubt.is_none() && !m.orders_out;
+        let mut images: BTreeMap<JobNo, (String, u64)> = BTreeMap::new();
+        for &(no, task) in &m.holds {
+            let Some(job) = self.jobs.get(&no) else {
+                continue;
+            };
+            let Some(place) = job.tasks[task as usize].place.as_deref() else {
+                continue;
+            };
+            if !missing.contains(&(no, task)) {
+                if !matches!(place.seen, Seen::No | Seen::Fetching) && !images.contains_key(&no) {
+                    images.insert(no, (job.spec.image.clone(), job.spec.image_mb));
                 }
+                continue;
+            }
+            if place.session < r.session {
+                // The session that it was in is over: the worker killed and forgot it.
+                lost.push((no, task, None));
+                continue;
+            }
+            let unsent = !place.sent
+                || (fenced && by_report && place.sent_seq < r.seq && place.stop.is_some());
+            if place.seen != Seen::No || (place.stop.is_some() && unsent) {
+                lost.push((no, task, None));
             }
         }
         if let Some(m) = self.machines.get_mut(name) {
-            let had = !m.strays.is_empty();
-            m.strays = tasks;
-            if had || !m.strays.is_empty() {
+            for (image, mb) in images.into_values() {
+                m.use_image(&image, mb, now);
+            }
+            m.strays = strays;
+            // What has exited is told to go in the answer to a report; what still runs is not ours
+            // to leave there.
+            if m.has_live_strays() || (had && m.strays.is_empty()) {
                 self.push.insert(name.clone());
             }
         }
@@ -262,12 +336,12 @@
                 if let Some(at) = started {
                     self.note_run_time(no, now.since(at));
                 }
-                self.task_done(no, task);
+                self.task_done(no, task, now);
                 if let Some(j) = self.jobs.get(&no) {
                     if j.spec.kind == Kind::Gang {
                         // They complete together: when one is done, all of them are.
                         for t in 0..j.spec.tasks {
-                            self.task_done(no, t);
+                            self.task_done(no, t, now);
                         }
                     }
                 }
@@ -328,8 +402,9 @@
             return;
         }
         let ratio = (ran.0 as f64 / job.spec.estimate.0 as f64).clamp(0.1, 10.0);
-        let r = self.ratios.entry(job.spec.class.clone()).or_insert(1.0);
-        *r += (ratio - *r) * 0.05;
+        if let Some(c) = self.classes.get_mut(job.class) {
+            c.ratio += (ratio - c.ratio) * 0.05;
+        }
     }
 
     /// The machine is to be taken away: whatever can be saved is saved.
@@ -462,7 +537,7 @@
             return true;
         };
         let chunk = s.task / crate::records::CHUNK;
-        if self.dirty.contains(&(*no, chunk)) || self.final_jobs.contains(no) {
+        if self.dirty.contains(*no, chunk) || self.final_jobs.contains(no) {
             return false;
         }
         if self.in_flight(*no, chunk) {
@@ -476,18 +551,29 @@
         place.is_none_or(|p| p.attempt != s.attempt)
     }
 
-    /// Sends direct orders to the machines that need some.
+    /// Sends direct orders to the machines that need some, a bounded number at a time.
     pub(super) fn send_orders(&mut self, now: Micros) {
-        let names: Vec<Arc<str>> = self.push.iter().cloned().collect();
-        for name in names {
+        while let Some((due, name)) = self.push_later.first().cloned() {
+            if due > now {
+                break;
+            }
+            self.push_later.pop_first();
+            self.push.insert(name);
+        }
+        while self.orders_out < MAX_CALLS {
+            let Some(name) = self.push.pop_first() else {
+                return;
+            };
             let Some(m) = self.machines.get(&name) else {
-                self.push.remove(&name);
                 continue;
             };
             if m.orders_out || now < m.orders_after {
+                // Its answer, or the time, brings it back.
+                if !m.orders_out {
+                    self.push_later.insert((m.orders_after, name));
+                }
                 continue;
             }
-            self.push.remove(&name);
             if !m.is_up() || m.addr.is_empty() {
                 continue;
             }
@@ -500,6 +586,8 @@
                 continue;
             };
             m.orders_out = true;
+            m.orders_after = now.plus(REPEAT);
+            self.orders_out += 1;
             self.effects.push(Effect::Orders {
                 machine: name,
                 addr: m.addr.clone(),
@@ -520,81 +608,48 @@
         end: Ordered,
         now: Micros,
     ) {
+        self.orders_out = self.orders_out.saturating_sub(1);
+        let lately = self.lately();
         let Some(m) = self.machines.get_mut(name) else {
             return;
         };
         m.orders_out = false;
         match end {
             Ordered::Done(r) | Ordered::Stale(r) => {
+                m.deaf.called(true, lately, now);
                 self.learn(name, r, false, now);
             }
             Ordered::NotSent => {
+                m.deaf.called(false, lately, now);
                 m.orders_after = now.plus(Micros::from_millis(700));
                 self.push.insert(name.clone());
             }
             Ordered::Unknown => {
+                m.deaf.called(false, lately, now);
                 m.orders_after = now.plus(Micros::from_secs(1));
                 if starts && m.session == session {
                     m.doubt = Some((token, now));
+                    self.unsettled.insert(name.clone());
                 }
                 self.push.insert(name.clone());
             }
         }
+        self.reindex(name);
     }
 
-    /// Looks after silent machines, stops that take too long, doubts that stay.
+    /// Looks after the machines whose time has come: silent ones, those whose lease is over, stops
+    /// that take too long, doubts that stay.
     pub(super) fn watch_machines(&mut self, now: Micros) {
-        let report = self.cfg.report;
-        let mut probes = Vec::new();
         let mut over = Vec::new();
         let mut silent = Vec::new();
         let mut returns = Vec::new();
-        let (mut heard_any, mut doubtful) = (0usize, false);
-        for m in self.machines.values_mut() {
-            if let Phase::Returning(true) = m.phase {
-                if now >= m.return_after {
-                    m.return_after = now.plus(Micros::from_secs(3));
-                    returns.push(m.name.clone());
-                }
-            }
-            if m.phase == Phase::Returning(false) {
-                continue;
-            }
-            let quiet = now.since(m.last_heard.max(self.took_office));
-            let heard = m.phase == Phase::Up && now.since(m.last_heard) < report.times(2.5);
-            heard_any += usize::from(heard);
-            doubtful |= heard
-                && m.doubt
-                    .is_some_and(|d| now.since(d.1) > Micros::from_secs(6));
-            let asks = m.phase == Phase::Up || (m.phase == Phase::Unheard && !m.holds.is_empty());
-            // Machines that an earlier leader knew; what boots for us will report by itself.
-            let unfenced = m.phase == Phase::Unheard && m.recorded && m.born < self.took_office;
-            if (unfenced || (asks && quiet > report.times(1.4)))
-                && now >= m.probe_after
-                && !m.addr.is_empty()
-            {
-                let wait = if m.phase == Phase::Up { 1 } else { 4 };
-                m.probe_after = now.plus(Micros::from_secs(wait));
-                probes.push((m.name.clone(), m.addr.clone()));
-            }
-            // The worker's lease: from our last answer, or from when the leader before us could
-            // have given one.
-            let base = match m.fenced_at {
-                Some(at) => at.max(m.last_answer),
-                None => self.old_silent_at.max(m.last_answer),
-            };
-            if !m.holds.is_empty() && now > base.plus(self.cfg.lease.with_drift()) {
-                over.push(m.name.clone());
-            }
-            // Two missed reports and two probes without an answer are taken for its end.
-            let unanswered = m.probes_failed >= 2 && quiet > report.times(1.8);
-            let long = quiet > report.times(2.6).plus(Micros::from_secs(1));
-            if m.phase == Phase::Up && (unanswered || long) {
-                silent.push(m.name.clone());
+        while let Some((at, name)) = self.looks.first().cloned() {
+            if at > now {
+                break;
             }
-        }
-        for (machine, addr) in probes {
-            self.effects.push(Effect::Probe { machine, addr });
+            self.steps += 1;
+            let next = self.look(&name, &mut over, &mut silent, &mut returns, now);
+            self.look_at(&name, next.max(now.plus(Micros::from_millis(400))));
         }
         if !returns.is_empty() {
             self.effects.push(Effect::Return { names: returns });
@@ -602,40 +657,130 @@
         for name in over {
             self.lose_all(&name, now);
         }
-        self.return_silent(silent, heard_any);
-        if doubtful && !self.raise_out {
-            self.raise_out = true;
-            self.effects.push(Effect::RaiseTerm);
-        }
+        self.return_silent(silent, now);
         self.escalate(now);
     }
 
+    /// One machine; says when to look again.
+    fn look(
+        &mut self,
+        name: &Arc<str>,
+        over: &mut Vec<Arc<str>>,
+        silent: &mut Vec<Arc<str>>,
+        returns: &mut Vec<Arc<str>>,
+        now: Micros,
+    ) -> Micros {
+        let (report, lately) = (self.cfg.report, self.lately());
+        let soon = now.plus(Micros::from_millis(500));
+        let Some(m) = self.machines.get_mut(name) else {
+            return soon;
+        };
+        match m.phase {
+            Phase::Returning(true) => {
+                returns.push(name.clone());
+                let wait = self.cfg.report.max(Micros::from_secs(3));
+                return self.lease_end(name, over, now).min(now.plus(wait));
+            }
+            Phase::Returning(false) => return self.lease_end(name, over, now).min(soon),
+            _ => {}
+        }
+        let quiet = now.since(m.last_heard.max(self.took_office));
+        let asks = m.phase == Phase::Up || !m.holds.is_empty();
+        // Machines that an earlier leader knew; what boots for us will report by itself.
+        let unfenced = m.phase == Phase::Unheard && m.recorded && m.born < self.took_office;
+        let waits = unfenced || (asks && quiet > report.times(1.4)) || m.deaf.suspected();
+        if waits && now >= m.probe_after && !m.addr.is_empty() && self.probes_out < MAX_PROBES {
+            let wait = if m.phase == Phase::Up { 1 } else { 4 };
+            m.probe_after = now.plus(Micros::from_secs(wait));
+            self.probes_out += 1;
+            self.effects.push(Effect::Probe {
+                machine: name.clone(),
+                addr: m.addr.clone(),
+            });
+        }
+        // Two missed reports and two probes without an answer are taken for its end.
+        let unanswered = m.probes_failed >= 2 && quiet > report.times(1.8);
+        let long = quiet > report.times(2.6).plus(Micros::from_secs(1));
+        // A deaf machine is as good as silent: nothing that it is told happens.
+        let deaf = m.deaf.certain(report.times(1.8), now);
+        if m.phase == Phase::Up && (unanswered || long || deaf) {
+            silent.push(name.clone());
+        }
+        let mute = m.phase == Phase::Up && quiet > lately;
+        if mute != m.silent {
+            m.silent = mute;
+            self.reindex(name);
+        }
+        let end = self.lease_end(name, over, now);
+        if waits || deaf || unanswered || long {
+            return soon;
+        }
+        let Some(m) = self.machines.get(name) else {
+            return soon;
+        };
+        let next = if m.phase == Phase::Up {
+            m.last_heard.plus(report.times(1.4))
+        } else {
+            now.plus(Micros::from_secs(2))
+        };
+        next.min(end)
+    }
+
+    /// When the worker's lease is over at the latest: counted from our last answer, or from when
+    /// the leader before us could have given one. If it is, everything on it is gone.
+    fn lease_end(&self, name: &Arc<str>, over: &mut Vec<Arc<str>>, now: Micros) -> Micros {
+        let far = now.plus(self.cfg.lease);
+        let Some(m) = self.machines.get(name).filter(|m| !m.holds.is_empty()) else {
+            return far;
+        };
+        // A session that began after our last answer has its lease from its own beginning.
+        let base = match m.fenced_at {
+            Some(at) => at.max(m.last_answer),
+            None => self.old_silent_at.max(m.last_answer),
+        };
+        let end = base.max(m.session_since).plus(self.cfg.lease.with_drift());
+        if now > end {
+            over.push(name.clone());
+        }
+        end.plus(Micros::from_millis(1))
+    }
+
     /// Returning a silent machine fences it sooner than its lease does. Many silent at once look
     /// like a cut, and so does a zone from which nobody is heard: then the lease decides.
-    fn return_silent(&mut self, silent: Vec<Arc<str>>, heard_any: usize) {
-        if heard_any == 0 {
+    fn return_silent(&mut self, silent: Vec<Arc<str>>, now: Micros) {
+        let report = self.cfg.report;
+        if silent.is_empty() || now.since(self.last_heard) > report.times(2.5) {
             return;
         }
+        // When each machine that hears us was heard last, by zone.
+        let mut heard: HashMap<Arc<str>, Vec<Micros>> = HashMap::new();
+        for m in self.machines.values() {
+            if m.is_up() && !m.deaf.suspected() {
+                heard.entry(m.zone.clone()).or_default().push(m.last_heard);
+            }
+        }
+        self.steps += self.machines.len() as u64;
+        for times in heard.values_mut() {
+            times.sort_unstable();
+        }
+        let mut alike: HashMap<(Arc<str>, bool), usize> = HashMap::new();
+        for m in silent.iter().filter_map(|n| self.machines.get(n)) {
+            *alike.entry((m.zone.clone(), m.spot)).or_default() += 1;
+        }
         for name in &silent {
             let Some(m) = self.machines.get(name) else {
                 continue;
             };
-            let heard_there = self
-                .machines
-                .values()
-                .filter(|o| {
-                    // Heard since this one should have reported: what was heard before says
-                    // nothing of a cut that began in between.
-                    o.zone == m.zone
-                        && o.is_up()
-                        && o.last_heard > m.last_heard.plus(self.cfg.report.times(1.4))
-                })
-                .count();
-            let silent_alike = silent
-                .iter()
-                .filter_map(|n| self.machines.get(n))
-                .filter(|o| o.zone == m.zone && o.spot == m.spot)
-                .count();
+            // Heard since this one should have reported: what was heard before says nothing of a
+            // cut that began in between. Of a deaf machine's zone, whoever hears us counts.
+            let since = match m.deaf.since {
+                Some(at) if m.deaf.certain(report.times(1.8), now) => at,
+                _ => m.last_heard.plus(report.times(1.4)),
+            };
+            let heard_there = heard
+                .get(&m.zone)
+                .map_or(0, |t| t.len() - t.partition_point(|at| *at <= since));
+            let silent_alike = alike.get(&(m.zone.clone(), m.spot)).copied().unwrap_or(0);
             let few = if m.spot {
                 heard_there > 0 || self.open_zones.contains(&*m.zone)
             } else {
@@ -643,47 +788,56 @@
                     || (silent_alike <= 1 && self.open_zones.contains(&*m.zone))
             };
             if few {
-                self.give_back(name);
+                self.give_back(name, now);
             }
         }
     }
 
-    /// Second stops for tasks that save too long.
+    /// Repeats what shows no effect; second stops for tasks that save too long.
     fn escalate(&mut self, now: Micros) {
+        let mut settled = Vec::new();
         let mut again = Vec::new();
-        for m in self.machines.values().filter(|m| m.is_up()) {
+        let mut doubtful = false;
+        for name in &self.unsettled {
+            self.steps += 1;
+            let Some(m) = self.machines.get(name).filter(|m| !m.holds.is_empty()) else {
+                settled.push(name.clone());
+                continue;
+            };
+            let in_doubt = m.doubt.filter(|d| now.since(d.1) > Micros::from_secs(6));
+            // A token that was raised since then, and not heeded, is not raised again for it.
+            doubtful |= m.is_up()
+                && !m.silent
+                && !m.deaf.suspected()
+                && in_doubt.is_some_and(|d| d.0 >= self.term);
+            let mut waits = m.doubt.is_some();
             for &(no, task) in &m.holds {
-                let Some(place) = self
-                    .jobs
-                    .get(&no)
-                    .and_then(|j| j.tasks[task as usize].place.as_ref())
-                else {
-                    continue;
-                };
-                if let Some(stop) = place.stop {
+                let place =
+                    (self.jobs.get_mut(&no)).and_then(|j| j.tasks[task as usize].place.as_mut());
+                let Some(place) = place else { continue };
+                if let Some(stop) = place.stop.as_mut() {
+                    waits = true;
                     let limit = stop.grace.plus(self.cfg.gang_peer).plus(self.cfg.report);
-                    let late = now.since(stop.since) > limit;
-                    again.push((no, task, late, m.name.clone()));
+                    if now.since(stop.since) > limit {
+                        stop.grace = Micros::ZERO;
+                    }
                 } else if place.committed && place.seen == Seen::No {
-                    again.push((no, task, false, m.name.clone()));
+                    waits = true;
                 }
             }
-        }
-        for (no, task, late, name) in again {
-            if late {
-                if let Some(place) = self
-                    .jobs
-                    .get_mut(&no)
-                    .and_then(|j| j.tasks[task as usize].place.as_mut())
-                {
-                    let since = place.stop.map_or(now, |s| s.since);
-                    place.stop = Some(Stop {
-                        grace: Micros::ZERO,
-                        since,
-                    });
-                }
+            if !waits {
+                settled.push(name.clone());
+            } else if m.is_up() && now >= m.orders_after && !m.orders_out {
+                again.push(name.clone());
             }
-            self.push.insert(name);
+        }
+        for name in settled {
+            self.unsettled.remove(&name);
+        }
+        self.push.extend(again);
+        if doubtful && !self.raise_out {
+            self.raise_out = true;
+            self.effects.push(Effect::RaiseTerm);
         }
     }
 
@@ -699,11 +853,14 @@
     }
 
     /// Intends the return of a machine. The intent goes on record first.
-    pub(super) fn give_back(&mut self, name: &Arc<str>) {
+    pub(super) fn give_back(&mut self, name: &Arc<str>, now: Micros) {
         if let Some(m) = self.machines.get_mut(name) {
             if !matches!(m.phase, Phase::Returning(_)) {
                 m.phase = Phase::Returning(false);
-                self.dirty_machines.insert(name.clone());
+                // What holds work is waited for; what is empty can gather.
+                let wait = if m.holds.is_empty() { 700 } else { 0 };
+                self.blocks.changed(m, now.plus(Micros::from_millis(wait)));
+                self.reindex(name);
             }
         }
     }
@@ -712,12 +869,11 @@
     pub fn returned(&mut self, names: &[Arc<str>], now: Micros) {
         for name in names {
             self.lose_all(name, now);
-            if let Some(m) = self.machines.remove(name) {
+            if let Some(m) = self.machines.get(name) {
                 // What was given back can be had again.
                 let key = (m.kind.name.clone(), m.zone.to_string(), m.spot);
                 self.refusals.remove(&key);
-                self.dirty_machines.remove(name);
-                self.gone_machines.insert(name.clone());
+                self.drop_machine(name, now);
             }
         }
         self.schedule_wanted = true;
@@ -730,11 +886,11 @@
                 let name = m.name.clone();
                 if m.addr.is_empty() && !e.addr.is_empty() {
                     m.addr.clone_from(&e.addr);
-                    self.dirty_machines.insert(name.clone());
+                    self.blocks.changed(m, now.plus(Micros::from_secs(3)));
                 }
                 if e.failed {
                     self.lose_all(&name, now);
-                    self.give_back(&name);
+                    self.give_back(&name, now);
                 }
                 continue;
             }
@@ -742,14 +898,16 @@
                 continue;
             }
             let kind = self.catalog.get(&e.type_name).cloned();
-            let kind = kind.unwrap_or_else(|| MachineType::unknown(&e.type_name));
-            let mut m = Machine::new(&e.name, Arc::new(kind), &e.zone, e.spot, &e.addr, now);
+            let kind = Arc::new(kind.unwrap_or_else(|| MachineType::unknown(&e.type_name)));
+            let zone = e.zone.as_str().into();
+            let mut m = Machine::new(&e.name, kind, zone, e.spot, &e.addr, now);
             m.born = now.since(e.age);
             let name = m.name.clone();
-            self.machines.insert(name.clone(), m);
-            self.dirty_machines.insert(name.clone());
+            self.blocks
+                .changed(&mut m, now.plus(Micros::from_millis(300)));
+            self.add_machine(m);
             if e.failed {
-                self.give_back(&name);
+                self.give_back(&name, now);
             }
         }
     }
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -7,16 +7,17 @@
 mod rules;
 mod schedule;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use crate::catalog::{Catalog, MachineType, Res};
 use crate::cluster::{JobNo, Machine, Order, Phase};
+use crate::fleet::Fleet;
 use crate::gang::Gang;
 use crate::job::{JobSpec, JobState, Kind};
 use crate::policy::Policy;
 use crate::quota::{Quota, TeamLimits};
-use crate::records::{View, CHUNK};
+use crate::records::{Gone, View, CHUNK};
 use crate::time::Micros;
 
 pub use capacity::{Refusal, Rented};
@@ -30,7 +31,12 @@
     pub lease: Micros,
     pub gang_peer: Micros,
     pub cancel: Micros,
+    /// Controllers in all.
+    pub nodes: usize,
     pub txn_ops: usize,
+    /// Changes a second that a leader may write, and the most bytes of one value.
+    pub write_rate: f64,
+    pub value_bytes: usize,
     /// Bytes that one transaction may hold, with room to spare.
     pub txn_bytes: usize,
     pub teams: Vec<TeamLimits>,
@@ -142,6 +148,9 @@
 pub(crate) struct Job {
     pub id: Arc<str>,
     pub spec: Arc<JobSpec>,
+    /// Its class and its team in the leader's tables.
+    pub class: usize,
+    pub team: usize,
     pub rev: u64,
     pub state: JobState,
     /// On this node's steady clock.
@@ -155,6 +164,8 @@
     pub chunk_revs: Vec<u64>,
     pub gang: Gang,
     pub not_before: Micros,
+    /// When a task of it was placed last.
+    pub served_at: Micros,
     /// Machines where a task of this job failed or was refused, and until when to avoid them.
     pub avoid: BTreeMap<Arc<str>, Micros>,
     pub errors: u32,
@@ -185,6 +196,14 @@
     }
 }
 
+/// What is known of a class of jobs.
+struct Class {
+    name: String,
+    aims: Vec<Aim>,
+    /// Run time seen over the owner's estimate.
+    ratio: f64,
+}
+
 pub struct Leader {
     cfg: Config,
     /// Sent with every order.
@@ -201,33 +220,60 @@
     by_id: HashMap<Arc<str>, JobNo>,
     next_job: JobNo,
     machines: BTreeMap<Arc<str>, Machine>,
+    fleet: Fleet,
+    classes: Vec<Class>,
+    /// Active jobs, the oldest first, and those with tasks neither done nor placed.
+    by_age: BTreeSet<(Micros, JobNo)>,
+    open: BTreeSet<JobNo>,
+    /// Gangs at the barrier.
+    at_barrier: BTreeSet<JobNo>,
+    /// Machines that hold nothing, and those that are not yet heard or not yet ours.
+    empty: BTreeSet<Arc<str>>,
+    coming: BTreeSet<Arc<str>>,
+    /// When to look after each machine.
+    looks: BTreeSet<(Micros, Arc<str>)>,
+    /// Machines with stops or starts that have not shown any effect yet.
+    unsettled: BTreeSet<Arc<str>>,
     // Records that differ from memory.
-    dirty: BTreeSet<(JobNo, u32)>,
+    dirty: commit::Dirty,
     final_jobs: BTreeSet<JobNo>,
-    dirty_machines: BTreeSet<Arc<str>>,
-    gone_machines: BTreeSet<Arc<str>>,
+    blocks: commit::Blocks,
+    gone_machines: Gone,
     leftovers: VecDeque<String>,
     txn: Option<commit::Pending>,
     paused: bool,
     refresh_out: bool,
     next_txn: Micros,
+    pace: commit::Pace,
     // Things to do at the next poll.
     push: BTreeSet<Arc<str>>,
+    /// Machines that are to be called again, and when.
+    push_later: BTreeSet<(Micros, Arc<str>)>,
+    /// Direct calls under way.
+    orders_out: usize,
+    probes_out: usize,
+    /// When a machine was last heard.
+    last_heard: Micros,
     schedule_wanted: bool,
+    /// Searches for room to be made that are left in this pass.
+    searches: u32,
     next_schedule: Micros,
     next_tick: Micros,
+    next_plan: Micros,
     effects: Vec<Effect>,
     raise_out: bool,
     // Renting.
     rents: Vec<capacity::Renting>,
     next_request: u64,
     refusals: HashMap<(String, String, bool), Refusal>,
-    /// Run time seen over the owner's estimate, per class.
-    ratios: HashMap<String, f64>,
     /// How soon batch work is to be under way, by the policy.
     drain: Micros,
-    /// What tasks with accelerators need, by class.
-    gpu_needs: HashMap<String, Res>,
+    /// What tasks with accelerators need.
+    gpu_needs: HashSet<Res>,
+    /// Batch work that is placed, in processor-seconds of its estimates.
+    batch_placed: f64,
+    /// Machines and jobs looked at: what a pass costs, for tests.
+    steps: u64,
     /// Each active job's place in the order of service, as of the last pass.
     ranks: HashMap<JobNo, u8>,
     /// Zones in which a controller can be reached from here: a silent machine there is no sign of
@@ -252,6 +298,9 @@
     ) -> Leader {
         let mut l = Leader {
             quota: Quota::new(cfg.teams.clone()),
+            pace: commit::Pace::new(cfg.write_rate, now),
+            dirty: commit::Dirty::default(),
+            blocks: commit::Blocks::new(view, &cfg),
             cfg,
             term: view.term.1.term,
             term_rev: view.term.0,
@@ -262,43 +311,62 @@
             by_id: HashMap::new(),
             next_job: 1,
             machines: BTreeMap::new(),
-            dirty: BTreeSet::new(),
+            fleet: Fleet::default(),
+            classes: Vec::new(),
+            by_age: BTreeSet::new(),
+            open: BTreeSet::new(),
+            at_barrier: BTreeSet::new(),
+            empty: BTreeSet::new(),
+            coming: BTreeSet::new(),
+            looks: BTreeSet::new(),
+            unsettled: BTreeSet::new(),
             final_jobs: BTreeSet::new(),
-            dirty_machines: BTreeSet::new(),
-            gone_machines: BTreeSet::new(),
+            gone_machines: Gone::default(),
             leftovers: VecDeque::new(),
             txn: None,
             paused: false,
             refresh_out: false,
             next_txn: Micros::ZERO,
             push: BTreeSet::new(),
+            push_later: BTreeSet::new(),
+            orders_out: 0,
+            probes_out: 0,
+            last_heard: Micros::ZERO,
             schedule_wanted: true,
+            searches: 0,
             next_schedule: now,
             next_tick: now,
+            next_plan: now,
             effects: Vec::new(),
             raise_out: false,
             rents: Vec::new(),
             next_request: 1,
             refusals: HashMap::new(),
-            ratios: HashMap::new(),
             drain: Micros::from_secs(90),
-            gpu_needs: HashMap::new(),
+            gpu_needs: HashSet::new(),
+            batch_placed: 0.0,
+            steps: 0,
             ranks: HashMap::new(),
             open_zones: BTreeSet::new(),
             wall_offset: wall.since(now),
             took_office: now,
         };
-        for (name, (_, rec)) in &view.machines {
+        for (no, (_, block)) in &view.blocks {
             // A type that is no longer offered still holds what it holds: no room, but evidence.
-            let kind = l.catalog.get(&rec.type_name).cloned();
-            let kind = kind.unwrap_or_else(|| MachineType::unknown(&rec.type_name));
-            let mut m = Machine::new(name, Arc::new(kind), &rec.zone, rec.spot, &rec.addr, now);
-            m.recorded = true;
-            m.born = now.since(wall.since(rec.born));
-            if rec.returning {
-                m.phase = Phase::Returning(true);
+            let kind = l.catalog.get(&block.type_name).cloned();
+            let kind = Arc::new(kind.unwrap_or_else(|| MachineType::unknown(&block.type_name)));
+            let zone: Arc<str> = block.zone.as_str().into();
+            for rec in &block.machines {
+                let mut m =
+                    Machine::new(&rec.0, kind.clone(), zone.clone(), block.spot, &rec.1, now);
+                m.recorded = true;
+                m.block = Some(*no);
+                m.born = now.since(wall.since(rec.3));
+                if rec.2 {
+                    m.phase = Phase::Returning(true);
+                }
+                l.add_machine(m);
             }
-            l.machines.insert(m.name.clone(), m);
         }
         let mut ids: Vec<&String> = view.jobs.keys().collect();
         ids.sort();
@@ -332,8 +400,13 @@
         }
         self.term = term;
         self.term_rev = rev;
-        let names: Vec<Arc<str>> = self.machines.keys().cloned().collect();
-        self.push.extend(names);
+        // The others hear of it by the answers to their reports.
+        let doubtful = self.unsettled.iter().filter(|n| {
+            let m = self.machines.get(*n);
+            m.is_some_and(|m| m.doubt.is_some())
+        });
+        let doubtful: Vec<Arc<str>> = doubtful.cloned().collect();
+        self.push.extend(doubtful);
     }
 
     pub fn raise_failed(&mut self) {
@@ -375,7 +448,10 @@
         let n = spec.tasks as usize;
         let no = self.next_job;
         self.next_job += 1;
+        let class = self.class(&spec.class);
         let mut job = Job {
+            class,
+            team: self.quota.number(&spec.team),
             id: id.into(),
             rev: entry.rev,
             state: entry.record.state,
@@ -387,6 +463,7 @@
             chunk_revs: vec![0; n.div_ceil(CHUNK as usize)],
             gang: Gang::default(),
             not_before: Micros::ZERO,
+            served_at: Micros::ZERO,
             avoid: BTreeMap::new(),
             errors: 0,
             preempted_at: Micros::ZERO,
@@ -404,9 +481,11 @@
             for (i, a) in chunk.attempts.iter().enumerate() {
                 if let Some(t) = job.tasks.get_mut(c as usize * CHUNK as usize + i) {
                     t.attempt = *a;
-                    if i < 64 && chunk.done >> i & 1 == 1 {
-                        t.done = true;
-                    }
+                }
+            }
+            for i in chunk.done_tasks() {
+                if let Some(t) = job.tasks.get_mut((c * CHUNK + i) as usize) {
+                    t.done = true;
                 }
             }
             for p in &chunk.places {
@@ -421,7 +500,13 @@
             job.idle.remove(&i);
         }
         if job.spec.need.gpu > 0 {
-            self.gpu_needs.insert(job.spec.class.clone(), job.spec.need);
+            self.gpu_needs.insert(job.spec.need);
+        }
+        if job.active() {
+            self.by_age.insert((job.submitted, no));
+            if !job.idle.is_empty() {
+                self.open.insert(no);
+            }
         }
         self.by_id.insert(job.id.clone(), no);
         self.jobs.insert(no, job);
@@ -436,7 +521,7 @@
                 }
                 _ => {
                     lost = true;
-                    self.dirty.insert((no, task / CHUNK));
+                    self.dirty.outcome(no, task / CHUNK, now);
                 }
             }
         }
@@ -463,11 +548,82 @@
 
     /// The job was cancelled: whatever was never sent is dropped, the rest is stopped.
     fn cancel(&mut self, no: JobNo, now: Micros) {
+        self.close(no);
         self.stop_all(no, Micros::ZERO, now);
         self.check_complete(no);
         self.schedule_wanted = true;
     }
 
+    /// Nothing more of this job is to be placed.
+    fn close(&mut self, no: JobNo) {
+        self.open.remove(&no);
+        if let Some(job) = self.jobs.get(&no) {
+            self.by_age.remove(&(job.submitted, no));
+        }
+    }
+
+    /// The class's number in the leader's table.
+    fn class(&mut self, name: &str) -> usize {
+        if let Some(at) = self.classes.iter().position(|c| c.name == name) {
+            return at;
+        }
+        let aims = self.cfg.objectives.iter().filter(|o| o.class == name);
+        self.classes.push(Class {
+            name: name.to_owned(),
+            aims: aims.map(|o| o.aim).collect(),
+            ratio: 1.0,
+        });
+        self.classes.len() - 1
+    }
+
+    fn add_machine(&mut self, mut m: Machine) {
+        let name = m.name.clone();
+        self.fleet.add(&mut m);
+        self.empty.insert(name.clone());
+        self.coming.insert(name.clone());
+        self.looks.insert((m.look_at, name.clone()));
+        self.machines.insert(name, m);
+    }
+
+    /// The machine is proven gone; nothing is on it any more.
+    fn drop_machine(&mut self, name: &Arc<str>, now: Micros) {
+        let Some(mut m) = self.machines.remove(name) else {
+            return;
+        };
+        self.fleet.remove(&mut m);
+        self.empty.remove(name);
+        self.coming.remove(name);
+        self.looks.remove(&(m.look_at, m.name.clone()));
+        self.unsettled.remove(name);
+        self.push.remove(name);
+        self.gone_machines.insert(name);
+        self.blocks.leave(&m, now);
+    }
+
+    /// Something about a machine changed that counts for placement.
+    fn reindex(&mut self, name: &Arc<str>) {
+        if let Some(m) = self.machines.get_mut(name) {
+            self.fleet.update(m);
+            if m.fenced_at.is_some() && m.recorded || matches!(m.phase, Phase::Returning(_)) {
+                self.coming.remove(name);
+            }
+        }
+    }
+
+    fn look_at(&mut self, name: &Arc<str>, at: Micros) {
+        if let Some(m) = self.machines.get_mut(name) {
+            self.looks.remove(&(m.look_at, name.clone()));
+            m.look_at = at;
+            self.looks.insert((at, name.clone()));
+        }
+    }
+
+    /// Orders are to reach this machine soon, and are repeated until they show an effect.
+    fn call(&mut self, name: &Arc<str>) {
+        self.push.insert(name.clone());
+        self.unsettled.insert(name.clone());
+    }
+
     /// Records a place in memory: its room is held from now on.
     #[allow(clippy::too_many_arguments)]
     fn hold(
@@ -486,7 +642,7 @@
         let t = &mut job.tasks[task as usize];
         t.attempt = attempt;
         t.place = Some(Box::new(Place {
-            machine,
+            machine: machine.clone(),
             session,
             attempt,
             committed,
@@ -500,12 +656,29 @@
             stop: None,
         }));
         job.idle.remove(&task);
+        if job.idle.is_empty() {
+            self.open.remove(&no);
+        }
         job.placed += 1;
+        job.served_at = now;
         job.started |= job.idle.is_empty();
         *job.zones.entry(m.zone.clone()).or_default() += 1;
         m.holds.insert((no, task));
         m.used = m.used.plus(&job.spec.need);
-        self.quota.add(&job.spec.team, &job.spec.need);
+        if committed {
+            // What an earlier session says is older than this.
+            m.session = m.session.max(session);
+            self.unsettled.insert(machine.clone());
+        }
+        if job.spec.kind == Kind::Array {
+            self.batch_placed += batch_seconds(&job.spec);
+        } else {
+            m.steady_cpu += job.spec.need.cpu;
+        }
+        self.quota.add(job.team, &job.spec.need);
+        self.fleet.loaded(m, job.spec.priority, true);
+        self.fleet.update(m);
+        self.empty.remove(&machine);
     }
 
     /// A task's place is proven to be free, or was never sent.
@@ -523,8 +696,14 @@
         }
         if !job.tasks[task as usize].done {
             job.idle.insert(task);
+            if job.active() {
+                self.open.insert(no);
+            }
+        }
+        self.quota.remove(job.team, &job.spec.need);
+        if job.spec.kind == Kind::Array {
+            self.batch_placed -= batch_seconds(&job.spec);
         }
-        self.quota.remove(&job.spec.team, &job.spec.need);
         if let Some(m) = self.machines.get_mut(&place.machine) {
             if let Some(n) = job.zones.get_mut(&m.zone) {
                 *n -= 1;
@@ -535,16 +714,22 @@
             }
             m.holds.remove(&(no, task));
             m.used = m.used.minus(&job.spec.need);
+            if job.spec.kind != Kind::Array {
+                m.steady_cpu = m.steady_cpu.saturating_sub(job.spec.need.cpu);
+            }
             if job.spec.need.gpu > 0 || m.kind.size.gpu == 0 {
                 m.wanted_at = now;
             }
             if m.holds.is_empty() {
                 m.idle_since = now;
+                self.empty.insert(place.machine.clone());
             }
+            self.fleet.loaded(m, job.spec.priority, false);
+            self.fleet.update(m);
         }
         // In doubt, the record is written again: it must not keep a place that memory has dropped.
         if place.committed || place.in_txn {
-            self.dirty.insert((no, task / CHUNK));
+            self.dirty.outcome(no, task / CHUNK, now);
         }
         self.schedule_wanted = true;
     }
@@ -580,7 +765,7 @@
             place.stop = Some(Stop { grace, since });
         }
         let name = place.machine.clone();
-        self.push.insert(name);
+        self.call(&name);
     }
 
     /// Marks a job that is over, and of which nothing is left on any machine, for its final record.
@@ -593,12 +778,13 @@
             _ => job.complete() && job.placed == 0,
         };
         if over {
+            self.close(no);
             self.final_jobs.insert(no);
         }
     }
 
     /// A task ended with its result kept.
-    fn task_done(&mut self, no: JobNo, task: u32) {
+    fn task_done(&mut self, no: JobNo, task: u32, now: Micros) {
         let Some(job) = self.jobs.get_mut(&no) else {
             return;
         };
@@ -610,19 +796,17 @@
             t.done = true;
             job.done += 1;
             job.idle.remove(&task);
-            self.dirty.insert((no, task / CHUNK));
+            if job.idle.is_empty() {
+                self.open.remove(&no);
+            }
+            self.dirty.outcome(no, task / CHUNK, now);
         }
     }
 
     /// The estimate of a task's run time, corrected by what was seen of its class.
-    fn estimate(&self, spec: &JobSpec) -> Micros {
-        let ratio = self.ratios.get(&spec.class).copied().unwrap_or(1.0);
-        spec.estimate.times(ratio).max(Micros::from_secs(1))
-    }
-
-    /// Time after which a machine that says nothing takes no new tasks.
-    fn quiet(&self) -> Micros {
-        self.cfg.report.times(2.5).plus(Micros::from_secs(1))
+    fn estimate(&self, job: &Job) -> Micros {
+        let ratio = self.classes.get(job.class).map_or(1.0, |c| c.ratio);
+        job.spec.estimate.times(ratio).max(Micros::from_secs(1))
     }
 
     /// Runs whatever is due and hands out the effects.
@@ -647,29 +831,46 @@
         if self.schedule_wanted {
             at = at.min(self.next_schedule);
         }
-        if self.has_writes() {
-            at = at.min(self.next_txn);
+        if let Some(due) = self.writes_due() {
+            at = at.min(due.max(self.next_txn));
+        }
+        if let Some((due, _)) = self.push_later.first() {
+            at = at.min(*due);
         }
         at
     }
 
     fn tick(&mut self, now: Micros) {
-        self.apply_policy();
         self.watch_machines(now);
-        self.plan_capacity(now);
-        self.schedule_wanted = true;
+        if now >= self.next_plan {
+            self.next_plan = now.plus(Micros::from_secs(1));
+            self.apply_policy();
+            self.plan_capacity(now);
+            self.schedule_wanted = true;
+        }
+    }
+
+    /// Machines and jobs looked at so far.
+    pub fn steps(&self) -> u64 {
+        self.steps
     }
 
-    /// How many machines are up as far as known, and how many of them were heard lately.
-    pub fn heard(&self, now: Micros) -> (usize, usize) {
+    /// How many machines are up as far as known, how many of them were heard lately, and how many
+    /// others don't seem to hear us: they knock everywhere, which says nothing about this node.
+    pub fn heard(&self, now: Micros) -> (usize, usize, usize) {
         let quiet = self.cfg.report.times(2.5);
-        let up = self.machines.values().filter(|m| {
-            m.phase == Phase::Up
-                || (m.phase == Phase::Unheard && m.recorded && m.up_since > Micros::ZERO)
-        });
-        up.fold((0, 0), |(k, h), m| {
-            (k + 1, h + usize::from(now.since(m.last_heard) < quiet))
-        })
+        let mut all = (0, 0, 0);
+        for m in self.machines.values() {
+            let up = m.phase == Phase::Up
+                || (m.phase == Phase::Unheard && m.recorded && m.up_since > Micros::ZERO);
+            if up && m.deaf.since.is_some() {
+                all.2 += 1;
+            } else if up {
+                all.0 += 1;
+                all.1 += usize::from(now.since(m.last_heard) < quiet);
+            }
+        }
+        all
     }
 
     /// One line for the log.
@@ -681,6 +882,10 @@
             .map(|j| j.idle.len())
             .sum();
         let placed: u32 = self.jobs.values().map(|j| j.placed).sum();
+        let lost = self
+            .machines
+            .values()
+            .filter(|m| m.is_up() && !m.takes_tasks());
         let up = self.machines.values().filter(|m| m.is_up()).count();
         let mut room: BTreeMap<&str, (u64, u64, u64)> = BTreeMap::new();
         for m in self.machines.values().filter(|m| m.is_up()) {
@@ -694,21 +899,27 @@
             .map(|(t, (n, used, all))| format!("{t} {n}: {used}/{all}"))
             .collect();
         format!(
-            "term {} jobs {} waiting {} placed {} machines {} up {} [{}] dirty {} paused {}",
+            "term {} jobs {} waiting {} placed {} machines {} up {} ({} closed) [{}] dirty {} paused {}",
             self.term,
             self.jobs.len(),
             idle,
             placed,
             self.machines.len(),
             up,
+            lost.count(),
             room.join(", "),
-            self.dirty.len() + self.final_jobs.len() + self.dirty_machines.len(),
+            self.dirty.len() + self.final_jobs.len() + self.blocks.dirty(),
             self.paused
         )
     }
 
     /// Room that `need` takes on a machine, for tests and rules.
     pub fn used_by(&self, team: &str) -> Res {
-        self.quota.used(team)
+        self.quota.used(self.quota.number(team))
     }
 }
+
+/// Processor-seconds of one task by its owner's estimate.
+fn batch_seconds(spec: &JobSpec) -> f64 {
+    spec.need.cpu as f64 / 1e3 * spec.estimate.as_secs_f64()
+}
--- a/crates/saltpitch-core/src/leader/rules.rs
+++ b/crates/saltpitch-core/src/leader/rules.rs
@@ -63,9 +63,9 @@
         let cluster = self.cluster();
         let policy = &mut self.cfg.policy;
         self.drain = Micros::from_secs_f64(policy.number("drain_s", &cluster));
-        for m in self.machines.values_mut() {
-            let scope = |n: &str| type_value(&m.kind, m.spot, n).or_else(|| cluster(n));
-            m.keep = Micros::from_secs_f64(policy.number("idle_keep_s", &scope));
+        for g in &mut self.fleet.groups {
+            let scope = |n: &str| type_value(&g.kind, g.spot, n).or_else(|| cluster(n));
+            g.keep = Micros::from_secs_f64(policy.number("idle_keep_s", &scope));
         }
     }
 
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -1,6 +1,6 @@
 //! Placement: job by job in order of urgency, task by task on one snapshot.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use super::{Aim, Job, Leader, Seen};
@@ -13,6 +13,11 @@
 use crate::records::CHUNK;
 use crate::time::Micros;
 
+/// For each of these that a job has waited, it counts as half as large.
+const AGEING: Micros = Micros::from_secs(40);
+/// A job of which nothing was placed for this long is the next of those not pressing.
+const STARVED: Micros = Micros::from_secs(100);
+
 /// A job waiting for room, in the order in which jobs are served.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiting {
@@ -29,31 +34,40 @@
     victims: Vec<(JobNo, u32)>,
 }
 
+/// Machines of one group that a pass looks at for one job, beyond those that it needs.
+const LOOKS: usize = 48;
+/// Machines of one group looked at for room to be made, and searches in one pass: what stands
+/// behind them waits for the next pass.
+const MAKES: usize = 32;
+const SEARCHES: u32 = 3;
+
 impl Leader {
     /// Jobs with tasks to place, most urgent first: production, then what lies within its team's
     /// guarantee, then the rest, each by priority and age.
     pub(super) fn waiting(&mut self, now: Micros) -> Vec<Waiting> {
-        let mut ranks = HashMap::new();
-        let mut by_age: Vec<(&JobNo, &Job)> =
-            self.jobs.iter().filter(|(_, j)| j.active()).collect();
-        by_age.sort_by_key(|(no, j)| (j.submitted, **no));
-        let mut claimed: HashMap<&str, Res> = HashMap::new();
-        let mut list = Vec::new();
-        for (no, j) in by_age {
-            let Some(team) = self.quota.team(&j.spec.team) else {
+        let mut ranks = HashMap::with_capacity(self.by_age.len());
+        let mut claimed = vec![Res::default(); self.quota.len()];
+        let mut list = Vec::with_capacity(self.open.len());
+        self.steps += self.by_age.len() as u64;
+        for (_, no) in &self.by_age {
+            let Some(j) = self.jobs.get(no).filter(|j| j.active()) else {
+                continue;
+            };
+            let Some(team) = self.quota.team(j.team) else {
                 continue;
             };
             let left = u64::from(j.spec.tasks - j.done);
-            let sum = claimed.entry(&j.spec.team).or_default();
-            let whole = sum.plus(&j.spec.need.times(left));
+            let whole = claimed[j.team].plus(&j.spec.need.times(left));
             let guaranteed = team.guarantees(&whole);
-            *sum = whole;
+            claimed[j.team] = whole;
             let due = self.start_by(j, now);
             let young = now.since(j.submitted) < self.cfg.guarantee_within;
+            let starved = self.starved(j, now);
             let rank = match (j.spec.priority, guaranteed) {
                 (Priority::Production, _) => 0u8,
                 (_, true) if due.is_some() || young => 1,
                 (Priority::High, _) => 2,
+                _ if starved => 3,
                 _ if due.is_some_and(|d| d.since(now) <= Micros::from_secs(120)) => 3,
                 _ if due.is_some() => 4,
                 _ => 5,
@@ -63,10 +77,16 @@
                 continue;
             }
             let high = j.spec.priority < Priority::High;
-            // When not all can be served in time, the smallest first keeps the most aims.
-            let left = j.idle.len() as u64 * self.estimate(&j.spec).0 / 1_000 * j.spec.need.cpu;
-            // A gang that has waited for long comes before smaller ones that would fill the gaps.
-            let left = if self.aged(j, now) { 0 } else { left };
+            // When not all can be served in time, the smallest first keeps the most aims; but the
+            // largest must not wait for ever behind small ones that keep coming. So the wait since
+            // a job was served last makes it smaller, and in the end it is the first of its rank.
+            let left = j.idle.len() as u64 * self.estimate(j).0 / 1_000 * j.spec.need.cpu;
+            let left = if self.aged(j, now) || starved {
+                0
+            } else {
+                let waited = now.since(j.served_at.max(j.submitted)).0 / AGEING.0;
+                left >> waited.min(63)
+            };
             let key = (rank, high, left, j.submitted, *no);
             list.push((
                 key,
@@ -77,24 +97,26 @@
                 },
             ));
         }
-        list.sort_by_key(|x| x.0);
+        list.sort_unstable_by_key(|x| x.0);
         self.ranks = ranks;
         list.into_iter().map(|x| x.1).collect()
     }
 
+    /// Nothing of this job was placed for long, although something is left of it: late or large, its
+    /// turn has come. The wait is the same for all, so that nobody's is without bound.
+    fn starved(&self, job: &Job, now: Micros) -> bool {
+        !job.idle.is_empty() && now.since(job.served_at.max(job.submitted)) > STARVED
+    }
+
     /// The latest start that keeps the next aim that can still be kept. None: every aim for this
     /// job is missed, or nobody said when, so that it comes after those that can still be served in
     /// time.
     fn start_by(&self, job: &Job, now: Micros) -> Option<Micros> {
-        let run = self.estimate(&job.spec).times(1.2);
+        let run = self.estimate(job).times(1.2);
+        let aims = self.classes.get(job.class).map_or(&[][..], |c| &c.aims);
         let mut latest: Option<Micros> = None;
-        let mut any = false;
-        for o in &self.cfg.objectives {
-            if o.class != job.spec.class {
-                continue;
-            }
-            any = true;
-            let by = match o.aim {
+        for aim in aims {
+            let by = match *aim {
                 Aim::Wait(_) if job.started => continue,
                 Aim::Wait(w) => job.submitted.plus(w),
                 Aim::Finished(w) => job.submitted.plus(w).since(run),
@@ -107,7 +129,7 @@
                 latest = Some(latest.map_or(by, |l| l.min(by)));
             }
         }
-        if any {
+        if !aims.is_empty() {
             return latest;
         }
         let own = job.spec.deadline.map(|d| job.submitted.plus(d).since(run));
@@ -117,8 +139,7 @@
 
     /// Whether accelerators that other work needs make this machine type a last resort for `spec`.
     pub(super) fn contested_for(&self, spec: &JobSpec, size: &Res) -> bool {
-        let wanted: Vec<Res> = self.gpu_needs.values().copied().collect();
-        spec.need.gpu == 0 && placement::contested(size, &wanted)
+        spec.need.gpu == 0 && placement::contested(size, &self.gpu_needs)
     }
 
     /// Machines whose accelerators others need lend their processors only to tasks that can save
@@ -127,11 +148,13 @@
         if !self.contested_for(spec, &m.kind.size) {
             return true;
         }
-        spec.kind == Kind::Array && spec.saves() && now.since(m.wanted_at) < m.keep
+        let keep = self.fleet.groups[m.group].keep;
+        spec.kind == Kind::Array && spec.saves() && now.since(m.wanted_at) < keep
     }
 
     pub(super) fn schedule(&mut self, now: Micros) {
         self.loosen(now);
+        self.searches = SEARCHES;
         for w in self.waiting(now) {
             let Some(job) = self.jobs.get(&w.no) else {
                 continue;
@@ -165,19 +188,24 @@
     /// Takes back the room of all gangs at the barrier, so that this pass deals it out anew, oldest
     /// first: two gangs must not each hold what the other lacks.
     fn loosen(&mut self, now: Micros) {
-        let holding: Vec<(JobNo, Micros)> = self
-            .jobs
-            .iter()
-            .filter_map(|(no, j)| match j.gang {
+        let holding: Vec<(JobNo, Micros)> = (self.at_barrier.iter())
+            .filter_map(|no| match self.jobs.get(no)?.gang {
                 Gang::Holding { since } => Some((*no, since)),
                 _ => None,
             })
             .collect();
+        self.at_barrier.clear();
         for (no, since) in holding {
             self.park(no, now);
-            if let Some(job) = self.jobs.get_mut(&no) {
-                job.gang = Gang::Holding { since };
-            }
+            self.hold_barrier(no, since);
+        }
+    }
+
+    /// The gang's members found so far hold their room.
+    fn hold_barrier(&mut self, no: JobNo, since: Micros) {
+        if let Some(job) = self.jobs.get_mut(&no) {
+            job.gang = Gang::Holding { since };
+            self.at_barrier.insert(no);
         }
     }
 
@@ -191,23 +219,26 @@
             return now < until;
         }
         let spec = job.spec.clone();
-        let has = |name: &Arc<str>| {
-            self.machines
-                .get(name)
-                .is_some_and(|m| m.has_image(&spec.image))
+        let idle = job.idle.len() as u64;
+        let near = self.candidates(w.no, None, idle, now);
+        let has = |l: &Leader, name: &Arc<str>| {
+            let m = l.machines.get(name);
+            m.is_some_and(|m| m.has_image(&spec.image))
         };
-        let ready: u64 = self
-            .candidates(job, None, now)
+        let ready: u64 = near
             .iter()
-            .filter(|name| has(name))
+            .filter(|name| has(self, name))
             .filter_map(|name| self.machines.get(name))
             .map(|m| spec.need.count_in(&m.free()))
             .sum();
-        let missing = (job.idle.len() as u64).saturating_sub(ready) as usize;
-        let mut options = self.preemption_options(w, &spec, now);
-        options.retain(|o| has(&o.machine) && !o.victims.is_empty());
-        options.sort_by_key(|o| o.loss);
-        options.truncate(missing);
+        let missing = idle.saturating_sub(ready) as usize;
+        let mut options = Vec::new();
+        if missing > 0 {
+            options = self.preemption_options(w, &spec, now);
+            options.retain(|o| has(self, &o.machine) && !o.victims.is_empty());
+            options.sort_by_key(|o| o.loss);
+            options.truncate(missing);
+        }
         let awaited = !options.is_empty();
         if let Some(job) = self.jobs.get_mut(&w.no) {
             job.room_by = Some(if awaited {
@@ -221,25 +252,47 @@
         awaited
     }
 
-    /// Machines where this job's tasks could go now, best first, in `zone` if one is given.
-    fn candidates(&self, job: &Job, zone: Option<&str>, now: Micros) -> Vec<Arc<str>> {
-        let quiet = self.quiet();
-        let spec = &job.spec;
-        let mut list: Vec<(u64, &Arc<str>)> = self
-            .machines
-            .values()
-            .filter(|m| {
-                m.takes_tasks(now, quiet)
-                    && zone.is_none_or(|z| z == &*m.zone)
-                    && spec.need.fits(&m.free())
-                    && spec.allows(&m.kind.name, &m.zone, m.spot)
-                    && self.may_borrow(spec, m, now)
-                    && job.avoid.get(&m.name).is_none_or(|until| *until <= now)
+    /// Machines where this job's tasks could go now, best first, in `zone` if one is given. Of each
+    /// group only as many are looked at as may be of use, the fullest first.
+    fn candidates(
+        &mut self,
+        no: JobNo,
+        zone: Option<&str>,
+        want: u64,
+        now: Micros,
+    ) -> Vec<Arc<str>> {
+        let Some(spec) = self.jobs.get(&no).map(|j| j.spec.clone()) else {
+            return Vec::new();
+        };
+        let limit = LOOKS + want.min(1_000) as usize;
+        let mut found = Vec::new();
+        for g in 0..self.fleet.groups.len() {
+            let group = &mut self.fleet.groups[g];
+            if zone.is_some_and(|z| z != &*group.zone)
+                || !spec.need.fits(&group.kind.size)
+                || !spec.allows(&group.kind.name, &group.zone, group.spot)
+            {
+                continue;
+            }
+            let machines = &self.machines;
+            let walk = group.walk(&spec.need, limit, |n| machines.get(n).map(Machine::free));
+            self.steps += walk.steps;
+            found.extend(walk.fits);
+        }
+        let Some(job) = self.jobs.get(&no) else {
+            return Vec::new();
+        };
+        let mut list: Vec<(u64, Arc<str>)> = found
+            .into_iter()
+            .filter_map(|name| {
+                let m = self.machines.get(&name)?;
+                let avoided = job.avoid.get(&name).is_some_and(|until| *until > now);
+                (!avoided && self.may_borrow(&spec, m, now))
+                    .then(|| (placement::score(&spec, m), name))
             })
-            .map(|m| (placement::score(spec, m), &m.name))
             .collect();
         list.sort();
-        list.into_iter().map(|x| x.1.clone()).collect()
+        list.into_iter().map(|x| x.1).collect()
     }
 
     /// Whether one more task of the job may go to this zone, given where the others are.
@@ -257,14 +310,12 @@
             return 0;
         };
         let spec = job.spec.clone();
-        let mut more = self
-            .quota
-            .more(&spec.team, &spec.need)
-            .min(job.idle.len() as u64);
+        let idle = job.idle.len() as u64;
+        let mut more = self.quota.more(job.team, &spec.need).min(idle);
         if more == 0 {
             return 0;
         }
-        for name in self.candidates(job, None, now) {
+        for name in self.candidates(no, None, more, now) {
             while more > 0 {
                 let (Some(job), Some(m)) = (self.jobs.get(&no), self.machines.get(&name)) else {
                     break;
@@ -277,7 +328,7 @@
                 }
                 let (session, attempt) = (m.session, job.next_attempt(task));
                 self.hold(no, task, name.clone(), session, attempt, false, now);
-                self.dirty.insert((no, task / CHUNK));
+                self.dirty.placement(no, task / CHUNK, &spec, now);
                 more -= 1;
             }
         }
@@ -301,18 +352,19 @@
         };
         let need = job.spec.need;
         let idle = job.idle.len() as u64;
-        if self.quota.more(&job.spec.team, &need) < idle {
+        if self.quota.more(job.team, &need) < idle {
             return self.park(w.no, now);
         }
-        let zone = if job.spec.one_zone {
+        let one_zone = job.spec.one_zone;
+        let zone = if one_zone {
             match job.zones.keys().next().cloned() {
                 Some(z) => Some(z),
-                None => self.best_zone(job, now),
+                None => self.best_zone(w.no, now),
             }
         } else {
             None
         };
-        if !job.spec.one_zone || zone.is_some() {
+        if !one_zone || zone.is_some() {
             self.assume(w.no, zone.as_deref(), now);
         }
         let Some(spec) = self.jobs.get(&w.no).map(|j| j.spec.clone()) else {
@@ -325,22 +377,21 @@
         match permit(job.placed, n, since, now, wait) {
             Permit::Allow => {
                 job.gang = Gang::Committing;
+                self.at_barrier.remove(&w.no);
                 for c in 0..n.div_ceil(CHUNK) {
-                    self.dirty.insert((w.no, c));
+                    self.dirty.placement(w.no, c, &spec, now);
                 }
             }
             Permit::Wait => {
+                let left = u64::from(n - job.placed);
                 if job.placed > 0 {
-                    job.gang = Gang::Holding { since };
+                    self.hold_barrier(w.no, since);
                 }
-                let left = u64::from(n - job.placed);
                 self.preempt(w, left, now);
             }
             Permit::Drop if self.jobs.get(&w.no).is_some_and(|j| self.aged(j, now)) => {
                 // It keeps what it found: its turn has come.
-                if let Some(job) = self.jobs.get_mut(&w.no) {
-                    job.gang = Gang::Holding { since };
-                }
+                self.hold_barrier(w.no, since);
             }
             Permit::Drop => {
                 self.park(w.no, now);
@@ -359,6 +410,9 @@
             return;
         };
         job.gang = Gang::Parked { until: now };
+        if job.placed == 0 {
+            return;
+        }
         for task in 0..job.spec.tasks {
             self.clear(no, task, now);
         }
@@ -375,7 +429,8 @@
         } else {
             job.next_attempt(0)
         };
-        for name in self.candidates(job, zone, now) {
+        let want = job.idle.len() as u64;
+        for name in self.candidates(no, zone, want, now) {
             while let (Some(job), Some(m)) = (self.jobs.get(&no), self.machines.get(&name)) {
                 let Some(&task) = job.idle.first() else {
                     return;
@@ -390,14 +445,15 @@
     }
 
     /// The zone that holds most members of a gang now.
-    fn best_zone(&self, job: &Job, now: Micros) -> Option<Arc<str>> {
-        let mut rooms: HashMap<Arc<str>, u64> = HashMap::new();
-        for name in self.candidates(job, None, now) {
+    fn best_zone(&mut self, no: JobNo, now: Micros) -> Option<Arc<str>> {
+        let job = self.jobs.get(&no)?;
+        let (need, all) = (job.spec.need, u64::from(job.spec.tasks));
+        let mut rooms: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+        for name in self.candidates(no, None, all, now) {
             if let Some(m) = self.machines.get(&name) {
-                *rooms.entry(m.zone.clone()).or_default() += job.spec.need.count_in(&m.free());
+                *rooms.entry(m.zone.clone()).or_default() += need.count_in(&m.free());
             }
         }
-        let all = u64::from(job.spec.tasks);
         rooms
             .into_iter()
             .max_by_key(|(z, n)| ((*n).min(all), std::cmp::Reverse(z.clone())))
@@ -417,6 +473,13 @@
         if spec.priority < Priority::High && !w.guaranteed && w.slack.is_none() {
             return;
         }
+        if self.searches == 0 {
+            return;
+        }
+        self.searches -= 1;
+        if let Some(job) = self.jobs.get_mut(&w.no) {
+            job.preempted_at = now;
+        }
         let mut stops: Vec<(JobNo, u32)> = Vec::new();
         let mut left = left;
         let mut options = self.preemption_options(w, &spec, now);
@@ -431,9 +494,6 @@
         if stops.is_empty() {
             return;
         }
-        if let Some(job) = self.jobs.get_mut(&w.no) {
-            job.preempted_at = now;
-        }
         self.stop_victims(stops, spec.priority == Priority::Production, now);
     }
 
@@ -456,18 +516,30 @@
         }
     }
 
-    /// Per machine where room could be made for one task: what that loses, and whom to stop.
-    fn preemption_options(&self, w: Waiting, spec: &JobSpec, now: Micros) -> Vec<Making> {
-        let quiet = self.quiet();
+    /// Per machine where room could be made for one task: what that loses, and whom to stop. Of each
+    /// group a bounded part is looked at, and the next search goes on from there.
+    fn preemption_options(&mut self, w: Waiting, spec: &JobSpec, now: Micros) -> Vec<Making> {
         let mut options = Vec::new();
+        let mut looked: Vec<Arc<str>> = Vec::new();
+        for g in 0..self.fleet.groups.len() {
+            let group = &self.fleet.groups[g];
+            if !spec.need.fits(&group.kind.size)
+                || !spec.allows(&group.kind.name, &group.zone, group.spot)
+                || self.contested_for(spec, &group.kind.size)
+                || !(w.guaranteed || group.has_below(spec.priority))
+            {
+                continue;
+            }
+            let group = &mut self.fleet.groups[g];
+            let part = group.next_part(MAKES);
+            looked.extend(part);
+        }
+        self.steps += looked.len() as u64;
         let Some(job) = self.jobs.get(&w.no) else {
             return options;
         };
-        for m in self.machines.values() {
-            if !m.takes_tasks(now, quiet)
-                || !spec.allows(&m.kind.name, &m.zone, m.spot)
-                || self.contested_for(spec, &m.kind.size)
-                || !spec.need.fits(&m.kind.size)
+        for m in looked.iter().filter_map(|n| self.machines.get(n)) {
+            if !m.takes_tasks()
                 || !Self::zone_allows(job, &m.zone)
                 || job.avoid.get(&m.name).is_some_and(|until| *until > now)
             {
@@ -545,7 +617,7 @@
         other.spec.priority != Priority::Production
             && self
                 .quota
-                .team(&other.spec.team)
-                .is_some_and(|t| !t.guarantees(&self.quota.used(&other.spec.team)))
+                .team(other.team)
+                .is_some_and(|t| !t.guarantees(&self.quota.used(other.team)))
     }
 }
--- a/crates/saltpitch-core/src/lib.rs
+++ b/crates/saltpitch-core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod catalog;
 pub mod cluster;
+pub mod fleet;
 pub mod gang;
 pub mod job;
 pub mod leader;
--- a/crates/saltpitch-core/src/placement.rs
+++ b/crates/saltpitch-core/src/placement.rs
@@ -1,5 +1,7 @@
 //! Filter and score: where one task of a job goes on the present snapshot.
 
+use std::collections::HashSet;
+
 use crate::catalog::Res;
 use crate::cluster::Machine;
 use crate::job::JobSpec;
@@ -27,6 +29,6 @@
 
 /// Whether a machine type with accelerators is one that waiting or running work with accelerators
 /// fits on: other work may use it meanwhile, but nothing is rented for that.
-pub fn contested(size: &Res, wanted: &[Res]) -> bool {
+pub fn contested(size: &Res, wanted: &HashSet<Res>) -> bool {
     size.gpu > 0 && wanted.iter().any(|w| w.fits(size))
 }
--- a/crates/saltpitch-core/src/quota.rs
+++ b/crates/saltpitch-core/src/quota.rs
@@ -1,7 +1,5 @@
 //! Teams: what each is guaranteed and the most that it may use.
 
-use std::collections::HashMap;
-
 use crate::catalog::Res;
 
 /// One team's guarantee and limit. Zero means none.
@@ -40,42 +38,58 @@
 }
 
 /// What each team's tasks may be using now: every task that is assumed, bound or not yet proven
-/// gone counts, so that the limit holds whatever was lost on the way.
+/// gone counts, so that the limit holds whatever was lost on the way. Jobs keep their team's number,
+/// so that no name is looked up in a pass.
 #[derive(Clone, Debug, Default)]
 pub struct Quota {
-    teams: Vec<TeamLimits>,
-    used: HashMap<String, Res>,
+    teams: Vec<(TeamLimits, Res)>,
 }
 
+/// Stands for a team that the settings don't name: it gets nothing.
+pub const NO_TEAM: usize = usize::MAX;
+
 impl Quota {
     pub fn new(teams: Vec<TeamLimits>) -> Quota {
         Quota {
-            teams,
-            used: HashMap::new(),
+            teams: teams.into_iter().map(|t| (t, Res::default())).collect(),
         }
     }
 
-    pub fn team(&self, name: &str) -> Option<&TeamLimits> {
-        self.teams.iter().find(|t| t.name == name)
+    pub fn number(&self, name: &str) -> usize {
+        let at = self.teams.iter().position(|t| t.0.name == name);
+        at.unwrap_or(NO_TEAM)
+    }
+
+    pub fn len(&self) -> usize {
+        self.teams.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.teams.is_empty()
     }
 
-    pub fn used(&self, team: &str) -> Res {
-        self.used.get(team).copied().unwrap_or_default()
+    pub fn team(&self, no: usize) -> Option<&TeamLimits> {
+        self.teams.get(no).map(|t| &t.0)
     }
 
-    pub fn add(&mut self, team: &str, need: &Res) {
-        let used = self.used(team).plus(need);
-        self.used.insert(team.to_owned(), used);
+    pub fn used(&self, no: usize) -> Res {
+        self.teams.get(no).map(|t| t.1).unwrap_or_default()
     }
 
-    pub fn remove(&mut self, team: &str, need: &Res) {
-        let used = self.used(team).minus(need);
-        self.used.insert(team.to_owned(), used);
+    pub fn add(&mut self, no: usize, need: &Res) {
+        if let Some(t) = self.teams.get_mut(no) {
+            t.1 = t.1.plus(need);
+        }
+    }
+
+    pub fn remove(&mut self, no: usize, need: &Res) {
+        if let Some(t) = self.teams.get_mut(no) {
+            t.1 = t.1.minus(need);
+        }
     }
 
     /// How many more tasks of this need the team may have now. None for an unknown team.
-    pub fn more(&self, team: &str, need: &Res) -> u64 {
-        self.team(team)
-            .map_or(0, |t| t.more(&self.used(team), need))
+    pub fn more(&self, no: usize, need: &Res) -> u64 {
+        self.teams.get(no).map_or(0, |(t, used)| t.more(used, need))
     }
 }
--- a/crates/saltpitch-core/src/records.rs
+++ b/crates/saltpitch-core/src/records.rs
@@ -3,7 +3,7 @@
 //! All keys share one prefix and every node follows them with one watch, so that whoever sees a
 //! job has also seen each earlier change of term.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -18,16 +18,20 @@
 pub const LEADER_KEY: &str = "salt/leader";
 pub const CATALOG_KEY: &str = "salt/catalog";
 /// Tasks in one chunk record: a full one stays below the smallest value limit.
-pub const CHUNK: u32 = 64;
+pub const CHUNK: u32 = 128;
+/// The most machines in one block record.
+pub const BLOCK: usize = 64;
+/// The most returned machines whose names are remembered.
+const MAX_GONE: usize = 50_000;
 
 pub fn job_key(id: &str) -> String {
     format!("salt/j/{id}")
 }
 pub fn chunk_key(id: &str, chunk: u32) -> String {
-    format!("salt/p/{id}/{chunk}")
+    format!("salt/c/{id}/{chunk}")
 }
-pub fn machine_key(name: &str) -> String {
-    format!("salt/m/{name}")
+pub fn block_key(block: u32) -> String {
+    format!("salt/b/{block}")
 }
 pub fn node_key(name: &str) -> String {
     format!("salt/n/{name}")
@@ -82,30 +86,72 @@
     /// Highest attempt used, per task.
     #[serde(rename = "a")]
     pub attempts: Vec<u32>,
-    /// Bit set of completed tasks.
-    #[serde(rename = "d", default)]
-    pub done: u64,
+    /// Completed tasks, as runs: first task and how many.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub done: Vec<(u32, u32)>,
     /// (task within the chunk, machine, session)
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     pub places: Vec<PlaceRecord>,
 }
 
+impl ChunkRecord {
+    /// Adds a completed task; tasks come in order.
+    pub fn add_done(&mut self, task: u32) {
+        match self.done.last_mut() {
+            Some((first, n)) if *first + *n == task => *n += 1,
+            _ => self.done.push((task, 1)),
+        }
+    }
+
+    pub fn done_tasks(&self) -> impl Iterator<Item = u32> + '_ {
+        self.done
+            .iter()
+            .flat_map(|(first, n)| *first..first.saturating_add((*n).min(CHUNK)))
+    }
+}
+
+/// One machine of a block: name, address, and whether its return to the cloud is intended (nothing
+/// is placed on it again), and the time of day at which it was rented or first seen.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord(pub String, pub String, pub bool, pub Micros);
+
+/// Machines of one type, zone and kind. Thousands of machines come and go while changes are scarce,
+/// so many share a record.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct MachineRecord {
+pub struct BlockRecord {
     #[serde(rename = "t")]
     pub type_name: String,
     #[serde(rename = "z")]
     pub zone: String,
     #[serde(rename = "s", default)]
     pub spot: bool,
-    #[serde(rename = "a", default)]
-    pub addr: String,
-    /// Its return to the cloud is intended: nothing is placed on it again.
-    #[serde(rename = "r", default)]
-    pub returning: bool,
-    /// Time of day at which it was rented or first seen.
-    #[serde(rename = "b", default)]
-    pub born: Micros,
+    #[serde(rename = "m")]
+    pub machines: Vec<MachineRecord>,
+}
+
+/// Names of machines that were returned: late sightings of them mean nothing. Bounded, the oldest
+/// fall out: by then nothing of them can be under way any more.
+#[derive(Clone, Debug, Default)]
+pub struct Gone {
+    names: HashSet<String>,
+    order: VecDeque<String>,
+}
+
+impl Gone {
+    pub fn contains(&self, name: &str) -> bool {
+        self.names.contains(name)
+    }
+
+    pub fn insert(&mut self, name: &str) {
+        if self.names.insert(name.to_owned()) {
+            self.order.push_back(name.to_owned());
+            if self.order.len() > MAX_GONE {
+                if let Some(old) = self.order.pop_front() {
+                    self.names.remove(&old);
+                }
+            }
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -133,13 +179,14 @@
     pub rev: u64,
     pub jobs: HashMap<String, JobEntry>,
     pub chunks: HashMap<String, BTreeMap<u32, (u64, ChunkRecord)>>,
-    pub machines: BTreeMap<String, (u64, MachineRecord)>,
+    pub blocks: BTreeMap<u32, (u64, BlockRecord)>,
     pub nodes: BTreeMap<String, (u64, NodeRecord)>,
     pub term: (u64, TermRecord),
     pub leader: Option<(u64, LeaderRecord)>,
     pub catalog: Option<(u64, Arc<Catalog>)>,
-    /// Machines that were returned: late sightings of them mean nothing.
-    pub gone: HashSet<String>,
+    pub gone: Gone,
+    /// A record of an earlier version's layout was seen: this one must not lead on half the truth.
+    pub old_layout: bool,
 }
 
 fn parse<'a, T: Deserialize<'a>>(raw: &'a RawValue) -> Result<T, String> {
@@ -195,13 +242,25 @@
                 chunks.insert(no, (rev, parse(raw)?));
                 Ok(Change::Chunk)
             }
-            Key::Machine(name) => {
-                if self.machines.get(name).is_some_and(|x| rev <= x.0) {
+            Key::Block(no) => {
+                let old = self.blocks.get(&no);
+                if old.is_some_and(|x| rev <= x.0) {
                     return Ok(Change::None);
                 }
-                self.machines.insert(name.to_owned(), (rev, parse(raw)?));
+                let new: BlockRecord = parse(raw)?;
+                if let Some((_, old)) = old {
+                    let stays: HashSet<&str> = new.machines.iter().map(|m| m.0.as_str()).collect();
+                    for m in old.machines.iter().filter(|m| !stays.contains(&*m.0)) {
+                        self.gone.insert(&m.0);
+                    }
+                }
+                self.blocks.insert(no, (rev, new));
                 Ok(Change::Machine)
             }
+            Key::Old => {
+                self.old_layout = true;
+                Err("it is laid out by an earlier version; see CHANGELOG.md".to_owned())
+            }
             Key::Other => Ok(Change::None),
         }
     }
@@ -223,9 +282,12 @@
                     }
                 }
             }
-            Key::Machine(name) if self.machines.get(name).is_none_or(|m| m.0 < rev) => {
-                self.machines.remove(name);
-                self.gone.insert(name.to_owned());
+            Key::Block(no) if self.blocks.get(&no).is_some_and(|b| b.0 < rev) => {
+                if let Some((_, old)) = self.blocks.remove(&no) {
+                    for m in &old.machines {
+                        self.gone.insert(&m.0);
+                    }
+                }
                 return Change::Machine;
             }
             _ => {}
@@ -241,11 +303,25 @@
         chunks.values().fold((0, 0), |(run, done), (_, c)| {
             (
                 run + c.places.len() as u64,
-                done + u64::from(c.done.count_ones()),
+                done + c.done.iter().map(|r| u64::from(r.1)).sum::<u64>(),
             )
         })
     }
 
+    /// Takes over the names of returned machines from an older copy: what that one knew and this one
+    /// does not have is gone as well.
+    pub fn succeed(&mut self, old: View) {
+        self.gone = old.gone;
+        let here: HashSet<&str> = (self.blocks.values())
+            .flat_map(|b| b.1.machines.iter().map(|m| m.0.as_str()))
+            .collect();
+        for m in old.blocks.values().flat_map(|b| &b.1.machines) {
+            if !here.contains(m.0.as_str()) {
+                self.gone.insert(&m.0);
+            }
+        }
+    }
+
     /// The highest life known of a node.
     pub fn life(&self, node: &str) -> u64 {
         self.nodes.get(node).map_or(0, |n| n.1.life)
@@ -259,7 +335,9 @@
     Node(&'a str),
     Job(&'a str),
     Chunk(&'a str, u32),
-    Machine(&'a str),
+    Block(u32),
+    /// A kind of record that this version does not read.
+    Old,
     Other,
 }
 
@@ -273,14 +351,17 @@
     if let Some(id) = key.strip_prefix("salt/j/") {
         return Key::Job(id);
     }
-    if let Some(name) = key.strip_prefix("salt/m/") {
-        return Key::Machine(name);
+    if let Some(no) = key.strip_prefix("salt/b/") {
+        return no.parse().map_or(Key::Other, Key::Block);
+    }
+    if key.starts_with("salt/m/") || key.starts_with("salt/p/") {
+        return Key::Old;
     }
     if let Some(name) = key.strip_prefix("salt/n/") {
         return Key::Node(name);
     }
     if let Some((id, no)) = key
-        .strip_prefix("salt/p/")
+        .strip_prefix("salt/c/")
         .and_then(|rest| rest.rsplit_once('/'))
     {
         if let Ok(no) = no.parse() {
--- a/crates/saltpitch/src/api.rs
+++ b/crates/saltpitch/src/api.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use poem::http::{Method, StatusCode};
+use poem::http::{HeaderValue, Method, StatusCode};
 use poem::{Endpoint, Request, Response};
 use serde_json::{json, Value};
 
@@ -43,7 +43,12 @@
                 match body(&mut req).await {
                     Ok(b) => {
                         let (status, body) = self.0.report(&b);
-                        raw(status, body)
+                        let mut r = raw(status, body);
+                        if self.0.crowded() {
+                            r.headers_mut()
+                                .insert("connection", HeaderValue::from_static("close"));
+                        }
+                        r
                     }
                     Err(r) => r,
                 }
@@ -115,7 +120,7 @@
     let mut r = raw(status.as_u16(), body.to_string().into_bytes());
     if status == StatusCode::SERVICE_UNAVAILABLE {
         r.headers_mut()
-            .insert("retry-after", poem::http::HeaderValue::from_static("1"));
+            .insert("retry-after", HeaderValue::from_static("1"));
     }
     r
 }
--- a/crates/saltpitch/src/bounded.rs
+++ b/crates/saltpitch/src/bounded.rs
@@ -19,11 +19,8 @@
 }
 
 impl<A> Bounded<A> {
-    pub fn new(inner: A, connections: usize) -> Bounded<A> {
-        Bounded {
-            inner,
-            slots: Arc::new(Semaphore::new(connections.max(1))),
-        }
+    pub fn new(inner: A, slots: Arc<Semaphore>) -> Bounded<A> {
+        Bounded { inner, slots }
     }
 }
 
--- a/crates/saltpitch/src/lead.rs
+++ b/crates/saltpitch/src/lead.rs
@@ -135,7 +135,7 @@
 fn should_resign(node: &Arc<Node>) -> bool {
     let now = node.now();
     let mut i = node.lock();
-    let Some((known, heard)) = i.office.leader.as_ref().map(|l| l.heard(now)) else {
+    let Some((known, heard, deaf)) = i.office.leader.as_ref().map(|l| l.heard(now)) else {
         return false;
     };
     let knocks = i
@@ -148,7 +148,8 @@
     let hearing = Hearing {
         known,
         heard,
-        knocks,
+        // Machines that hear nobody knock at every node in turn.
+        knocks: knocks.saturating_sub(deaf),
         peers: node.peers_alive(&i),
         others: node.settings.peers.len(),
     };
@@ -393,7 +394,7 @@
     match effect {
         Effect::Txn { when, writes } => {
             let limit = Duration::from_millis(1_500);
-            let outcome = node.store.txn(&when, &writes, None, limit).await;
+            let outcome = node.store.leader_txn(&when, &writes, limit).await;
             if let Outcome::Failed(keys) = &outcome {
                 tracing::info!("transaction failed on {keys:?}");
                 if keys.iter().any(|k| k == TERM_KEY) {
@@ -434,7 +435,7 @@
         }
         Effect::Probe { machine, addr } => {
             let Ok(addr) = addr.parse::<SocketAddr>() else {
-                return;
+                return node.tell(epoch, |l, now| l.probe_failed(&machine, now));
             };
             let limit = Duration::from_millis(1_000);
             let r = node
@@ -444,11 +445,14 @@
             match r {
                 Ok(r) if r.status == 200 => match workers::report(&r.body) {
                     Ok(report) => node.tell(epoch, |l, now| l.heard_directly(report, now)),
-                    Err(e) => tracing::error!("{machine}: unreadable report: {e}"),
+                    Err(e) => {
+                        tracing::error!("{machine}: unreadable report: {e}");
+                        node.tell(epoch, |l, now| l.probe_failed(&machine, now));
+                    }
                 },
                 _ => {
                     tracing::debug!("{machine} does not answer");
-                    node.tell(epoch, |l, _| l.probe_failed(&machine));
+                    node.tell(epoch, |l, now| l.probe_failed(&machine, now));
                 }
             }
         }
--- a/crates/saltpitch/src/node.rs
+++ b/crates/saltpitch/src/node.rs
@@ -17,7 +17,7 @@
 use saltpitch_core::records::{self, Change, JobRecord, NodeRecord, View};
 use saltpitch_core::Micros;
 use serde_json::Value;
-use tokio::sync::{watch, Notify};
+use tokio::sync::{watch, Notify, Semaphore};
 
 use crate::api::Api;
 use crate::bounded::Bounded;
@@ -64,6 +64,9 @@
     pub http: Arc<Client>,
     pub links: Links,
     inner: Mutex<Inner>,
+    /// Connections that may yet be accepted from users and workers, and how many there are in all.
+    pub slots: Arc<Semaphore>,
+    connections: usize,
     /// Wakes the leader's loop.
     pub wake: Notify,
     /// Wakes the reader of the newest records.
@@ -87,6 +90,7 @@
     );
     let cloud = Cloud::new(http.clone(), settings.cloud, clock, settings.cloud_rps);
     let (api, peer_bind) = (settings.api, settings.peer_bind);
+    let connections = (settings.sockets * 7 / 10).max(1);
     let node = Arc::new(Node {
         settings,
         clock,
@@ -105,6 +109,8 @@
             knocks: HashMap::new(),
             rng: SmallRng::from_os_rng(),
         }),
+        slots: Arc::new(Semaphore::new(connections)),
+        connections,
         wake: Notify::new(),
         fresh_wanted: Notify::new(),
         fresh_started: AtomicU64::new(0),
@@ -127,8 +133,7 @@
         .into_acceptor()
         .await
         .with_context(cannot)?;
-    let connections = node.settings.sockets * 7 / 10;
-    Server::new_with_acceptor(Bounded::new(acceptor, connections))
+    Server::new_with_acceptor(Bounded::new(acceptor, node.slots.clone()))
         .idle_timeout(STALLED)
         .run(Api(node))
         .await
@@ -150,6 +155,12 @@
         tokio::time::sleep(Duration::from_millis(ms)).await;
     }
 
+    /// Whether a worker is to open a new connection for its next report: otherwise a leader with
+    /// more machines than sockets would have none left for users.
+    pub fn crowded(&self) -> bool {
+        self.slots.available_permits() * 3 < self.connections
+    }
+
     pub fn is_up(&self) -> bool {
         let i = self.lock();
         if !i.synced || i.catalog.is_none() {
@@ -268,10 +279,7 @@
             return false;
         };
         let mut i = self.lock();
-        let mut view = View {
-            gone: std::mem::take(&mut i.view.gone),
-            ..View::default()
-        };
+        let mut view = View::default();
         for item in items {
             if let Some(v) = &item.value {
                 if let Err(e) = view.put(&item.key, v, item.rev) {
@@ -282,7 +290,12 @@
         // A list is read page by page: what changed meanwhile follows from the first page's
         // revision on.
         view.rev = rev;
-        i.view = view;
+        if view.old_layout {
+            tracing::error!("the state service holds an earlier version's records: not serving");
+            return false;
+        }
+        let old = std::mem::replace(&mut i.view, view);
+        i.view.succeed(old);
         i.synced = true;
         if i.catalog.is_none() {
             i.catalog = i.view.catalog.as_ref().map(|c| c.1.clone());
@@ -515,7 +528,7 @@
             return self.lead_report(&mut i, report, now);
         }
         i.knocks.insert(report.machine, now);
-        if i.knocks.len() > 2_000 {
+        if i.knocks.len() > 10_000 {
             i.knocks
                 .retain(|_, at| now.since(*at) < Micros::from_secs(10));
         }
--- a/crates/saltpitch/src/store.rs
+++ b/crates/saltpitch/src/store.rs
@@ -22,6 +22,16 @@
     Failed,
 }
 
+/// The leader's part of the store's rate of changes, which its core paces by itself. The rest is for
+/// what users ask of all nodes.
+pub fn leader_share(size: usize) -> f64 {
+    if size == 1 {
+        0.9
+    } else {
+        0.7
+    }
+}
+
 pub struct Store {
     http: Arc<Client>,
     addr: SocketAddr,
@@ -59,7 +69,9 @@
         s
     }
 
-    /// The leader may use half of the shared rates, the others the rest between them.
+    /// The leader may use half of the requests, the others the rest between them. Users' changes are
+    /// few but come in bursts, to any node: each may use what the leader leaves, and the store itself
+    /// refuses what is too much in all.
     pub fn set_leading(&self, leads: bool) {
         let share = match (leads, self.size) {
             (_, 1) => 0.9,
@@ -68,7 +80,7 @@
         };
         let mut b = self.budgets.lock().unwrap_or_else(|e| e.into_inner());
         b.0.set_rate(self.rps * share);
-        b.1.set_rate(self.write_rps * share);
+        b.1.set_rate(self.write_rps * (1.0 - leader_share(self.size)));
     }
 
     /// How long to leave between two requests of a kind that may use `part` of this node's share.
@@ -176,6 +188,29 @@
         if !self.may(1.0, writes.len() as f64) {
             return Outcome::Refused;
         }
+        self.send(when, writes, hold, limit).await
+    }
+
+    /// A transaction of the leader's core, which keeps to its share of the changes by itself.
+    pub async fn leader_txn(
+        &self,
+        when: &[(String, u64)],
+        writes: &[Write],
+        limit: Duration,
+    ) -> Outcome {
+        if !self.may(1.0, 0.0) {
+            return Outcome::Refused;
+        }
+        self.send(when, writes, None, limit).await
+    }
+
+    async fn send(
+        &self,
+        when: &[(String, u64)],
+        writes: &[Write],
+        hold: Option<(u64, &str)>,
+        limit: Duration,
+    ) -> Outcome {
         let body = wire::transaction(when, writes, hold);
         match self.call(Method::POST, "/txn", body, limit).await {
             Ok(r) if r.status == 200 => {
