Replicas move off dear machines after a rush; dear rentals only for pressing work; warm room

Now: arrays are planned by turns; a policy rule bounds what not pressing batch work may pay; once nothing has waited for 20 s, machines with settled replicas only are emptied two at a time if cheaper or fuller ones have room and the image; room for the production expected during a boot is kept.

--- a/crates/saltpitch-core/src/leader/capacity.rs
+++ b/crates/saltpitch-core/src/leader/capacity.rs
@@ -62,6 +62,8 @@
 const TRIES: usize = 64;
 /// Rentals of one type, zone and kind that are asked for at a time.
 const MAX_RENTS: u32 = 4;
+/// Room kept warm, as a part of what is expected: arrivals come in clusters.
+const WARM: f64 = 1.5;
 /// The most machines of one rental.
 const RENTAL: u32 = 50;
 
@@ -97,6 +99,23 @@
         .find(|p| p.kind.name == type_name && &*p.zone == zone && p.spot == spot)
 }
 
+/// On what terms machines are rented for a job.
+struct Terms {
+    spot: bool,
+    /// Machines that cost more than this many times the cheapest are for pressing work only.
+    dear: f64,
+    slack: Option<Micros>,
+}
+
+impl Terms {
+    /// A machine rented now comes just in time: later it would be too late, and sooner there is
+    /// still hope for cheaper room.
+    fn pressing(&self, boot: Micros) -> bool {
+        self.slack
+            .is_some_and(|s| s > boot.times(0.5) && s < boot.plus(Micros::from_secs(25)))
+    }
+}
+
 /// How a job's tasks may be spread over zones, and how many it has in each.
 struct Zones {
     counts: BTreeMap<Arc<str>, u64>,
@@ -159,8 +178,16 @@
             if want == 0 {
                 continue;
             }
-            let spot = self.spot_wanted(&spec);
-            self.reserve(w.no, spot, want.min(MAX_RESERVED), &mut pools);
+            let terms = Terms {
+                spot: self.spot_wanted(&spec),
+                dear: if spec.kind == Kind::Array {
+                    self.dear_ratio(&spec)
+                } else {
+                    f64::INFINITY
+                },
+                slack: w.slack,
+            };
+            self.reserve(w.no, &terms, want.min(MAX_RESERVED), &mut pools);
         }
         self.rent(&pools, now);
         self.return_idle(now);
@@ -227,11 +254,15 @@
         let each = (job.spec.need.cpu * self.estimate(job).0 / 1_000_000).max(1);
         let can = (room * time.0 / 1_000_000).saturating_sub(*work);
         *work += want * each;
-        want - (can / each).min(want)
+        let left = want - (can / each).min(want);
+        // A machine that comes takes one task after the other until then.
+        let boot = self.catalog.types.iter().map(|t| t.boot).min();
+        let turns = time.since(boot.unwrap_or_default()).0 / self.estimate(job).times(1.2).0;
+        left.div_ceil(turns.max(1))
     }
 
     /// Puts `want` tasks into the room to come, adding machines to rent where that is short.
-    fn reserve(&self, no: JobNo, spot: bool, want: u64, pools: &mut [Pool]) {
+    fn reserve(&self, no: JobNo, terms: &Terms, want: u64, pools: &mut [Pool]) {
         let Some(job) = self.jobs.get(&no) else {
             return;
         };
@@ -248,7 +279,7 @@
         let mut left = want;
         let suits = |p: &Pool| {
             spec.need.fits(&p.kind.size)
-                && (spot || !p.spot)
+                && (terms.spot || !p.spot)
                 && spec.allows(&p.kind.name, &p.zone, p.spot)
                 && !self.contested_for(spec, &p.kind.size)
         };
@@ -262,6 +293,11 @@
                 }
             }
         }
+        let price = |p: &Pool| {
+            let per = spec.need.count_in(&p.kind.size).max(1);
+            p.kind.price_of(p.spot) as f64 / per as f64
+        };
+        let cheapest = (pools.iter().filter(|p| suits(p)).map(price)).fold(f64::INFINITY, f64::min);
         // The machine that holds a task of this job for the least money, of those that the cloud has
         // not just refused; between equals, the zone with less of it.
         while left > 0 {
@@ -269,6 +305,7 @@
                 |p: &Pool| self.fleet.by_zone.get(&p.zone).copied().unwrap_or(0) + p.new as usize;
             let best = (pools.iter_mut())
                 .filter(|p| suits(p) && !p.refused && zones.room(&p.zone) > 0)
+                .filter(|p| price(p) <= cheapest * terms.dear || terms.pressing(p.kind.boot))
                 .min_by_key(|p| {
                     let per = spec.need.count_in(&p.kind.size).min(left).max(1);
                     (p.kind.price_of(p.spot) * 1_000 / per, there(p))
@@ -386,8 +423,22 @@
         r.until = now.plus(Micros::from_secs(5 << r.times));
     }
 
+    /// Processors of ordinary machines beyond what production is expected to ask for before a
+    /// machine could boot. Batch work there makes way for it.
+    pub(super) fn beyond_warm(&self, now: Micros) -> u64 {
+        let boot = self.catalog.types.iter().map(|t| t.boot).max();
+        let rate = self.faded_demand(now) / super::FADE.as_secs_f64();
+        let keep = rate * boot.unwrap_or_default().as_secs_f64() * WARM;
+        let there: u64 = (self.fleet.groups.iter())
+            .filter(|g| !g.spot && !crate::placement::contested(&g.kind.size, &self.gpu_needs))
+            .map(|g| g.batch)
+            .sum();
+        there.saturating_sub(keep as u64)
+    }
+
     fn return_idle(&mut self, now: Micros) {
         let mut back = Vec::new();
+        let mut spare = self.beyond_warm(now);
         self.steps += self.empty.len() as u64;
         for m in self.empty.iter().filter_map(|n| self.machines.get(n)) {
             if !m.holds.is_empty() || m.has_live_strays() {
@@ -404,6 +455,16 @@
                 }
                 Phase::Returning(_) => false,
             };
+            let warm = m.phase == Phase::Up
+                && !m.condemned
+                && !m.spot
+                && !crate::placement::contested(&m.kind.size, &self.gpu_needs);
+            if stale && warm {
+                if spare < m.kind.size.cpu {
+                    continue;
+                }
+                spare -= m.kind.size.cpu;
+            }
             if stale {
                 back.push(m.name.clone());
             }
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -3,6 +3,7 @@
 
 mod capacity;
 mod commit;
+mod consolidate;
 mod evidence;
 mod rules;
 mod schedule;
@@ -14,7 +15,7 @@
 use crate::cluster::{JobNo, Machine, Order, Phase};
 use crate::fleet::Fleet;
 use crate::gang::Gang;
-use crate::job::{JobSpec, JobState, Kind};
+use crate::job::{JobSpec, JobState, Kind, Priority};
 use crate::policy::Policy;
 use crate::quota::{Quota, TeamLimits};
 use crate::records::{Gone, View, CHUNK};
@@ -63,6 +64,9 @@
     Deadline(f64),
 }
 
+/// How fast production's past demand fades from the estimate of what is to come.
+const FADE: Micros = Micros::from_secs(60);
+
 /// One write of a transaction; no value deletes the key.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Write {
@@ -169,7 +173,8 @@
     /// Machines where a task of this job failed or was refused, and until when to avoid them.
     pub avoid: BTreeMap<Arc<str>, Micros>,
     pub errors: u32,
-    pub preempted_at: Micros,
+    /// Not before then is room to be made for it again.
+    pub search_after: Micros,
     /// Room is being made where its image is: it waits for that until then.
     pub room_by: Option<Micros>,
     /// All tasks were placed at one time.
@@ -255,6 +260,10 @@
     /// When a machine was last heard.
     last_heard: Micros,
     schedule_wanted: bool,
+    /// When a job was last found waiting.
+    waited_at: Micros,
+    /// Processors that production asked for lately, fading with time, and as of when.
+    demand: (f64, Micros),
     /// Searches for room to be made that are left in this pass.
     searches: u32,
     next_schedule: Micros,
@@ -333,6 +342,8 @@
             probes_out: 0,
             last_heard: Micros::ZERO,
             schedule_wanted: true,
+            waited_at: now,
+            demand: (0.0, now),
             searches: 0,
             next_schedule: now,
             next_tick: now,
@@ -466,7 +477,7 @@
             served_at: Micros::ZERO,
             avoid: BTreeMap::new(),
             errors: 0,
-            preempted_at: Micros::ZERO,
+            search_after: Micros::ZERO,
             room_by: None,
             started: false,
             zones: BTreeMap::new(),
@@ -502,6 +513,9 @@
         if job.spec.need.gpu > 0 {
             self.gpu_needs.insert(job.spec.need);
         }
+        if job.active() && now.since(job.submitted) < FADE {
+            self.note_demand(&job.spec, now);
+        }
         if job.active() {
             self.by_age.insert((job.submitted, no));
             if !job.idle.is_empty() {
@@ -554,6 +568,19 @@
         self.schedule_wanted = true;
     }
 
+    /// Production jobs come at some rate: what they ask for is kept warm ahead of them.
+    fn note_demand(&mut self, spec: &JobSpec, now: Micros) {
+        if spec.priority == Priority::Production {
+            let more = spec.need.cpu as f64 * f64::from(spec.tasks);
+            self.demand = (self.faded_demand(now) + more, now);
+        }
+    }
+
+    fn faded_demand(&self, now: Micros) -> f64 {
+        let (level, at) = self.demand;
+        level * (-now.since(at).as_secs_f64() / FADE.as_secs_f64()).exp()
+    }
+
     /// Nothing more of this job is to be placed.
     fn close(&mut self, no: JobNo) {
         self.open.remove(&no);
@@ -843,9 +870,10 @@
     fn tick(&mut self, now: Micros) {
         self.watch_machines(now);
         if now >= self.next_plan {
-            self.next_plan = now.plus(Micros::from_secs(1));
+            self.next_plan = now.plus(Micros::from_millis(500));
             self.apply_policy();
             self.plan_capacity(now);
+            self.consolidate(now);
             self.schedule_wanted = true;
         }
     }
--- a/crates/saltpitch-core/src/leader/rules.rs
+++ b/crates/saltpitch-core/src/leader/rules.rs
@@ -81,6 +81,17 @@
         spec.spot && self.cfg.policy.flag("use_spot", &scope)
     }
 
+    pub(super) fn dear_ratio(&mut self, spec: &JobSpec) -> f64 {
+        let cluster = self.cluster();
+        let scope = |n: &str| job_value(spec, n).or_else(|| cluster(n));
+        self.cfg.policy.number("dear_ratio", &scope)
+    }
+
+    pub(super) fn consolidates(&mut self) -> bool {
+        let cluster = self.cluster();
+        self.cfg.policy.flag("consolidate", &cluster)
+    }
+
     /// Faults of the policy since the last call, for the log.
     pub fn policy_faults(&mut self) -> Vec<String> {
         std::mem::take(&mut self.cfg.policy.faults)
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -14,9 +14,9 @@
 use crate::time::Micros;
 
 /// For each of these that a job has waited, it counts as half as large.
-const AGEING: Micros = Micros::from_secs(40);
+const AGEING: Micros = Micros::from_secs(60);
 /// A job of which nothing was placed for this long is the next of those not pressing.
-const STARVED: Micros = Micros::from_secs(100);
+const STARVED: Micros = Micros::from_secs(140);
 
 /// A job waiting for room, in the order in which jobs are served.
 #[derive(Clone, Copy, Debug)]
@@ -466,7 +466,7 @@
             return;
         };
         let spec = job.spec.clone();
-        if now.since(job.preempted_at) < Micros::from_secs(2) && job.preempted_at > Micros::ZERO {
+        if now < job.search_after {
             return;
         }
         // Lesser work is stopped for work that can still be in time, not for what is late anyway.
@@ -477,9 +477,6 @@
             return;
         }
         self.searches -= 1;
-        if let Some(job) = self.jobs.get_mut(&w.no) {
-            job.preempted_at = now;
-        }
         let mut stops: Vec<(JobNo, u32)> = Vec::new();
         let mut left = left;
         let mut options = self.preemption_options(w, &spec, now);
@@ -491,6 +488,11 @@
             left -= 1;
             stops.extend(o.victims);
         }
+        // What was found is given time to show its effect; what was not may turn up elsewhere.
+        let wait = if stops.is_empty() { 300 } else { 2_000 };
+        if let Some(job) = self.jobs.get_mut(&w.no) {
+            job.search_after = now.plus(Micros::from_millis(wait));
+        }
         if stops.is_empty() {
             return;
         }
--- a/crates/saltpitch-core/src/policy/mod.rs
+++ b/crates/saltpitch-core/src/policy/mod.rs
@@ -70,6 +70,20 @@
         max: 1.0,
         scopes: &["job", "cluster"],
     },
+    Rule {
+        name: "dear_ratio",
+        ty: Type::Number,
+        min: 1.0,
+        max: 1e6,
+        scopes: &["job", "cluster"],
+    },
+    Rule {
+        name: "consolidate",
+        ty: Type::Bool,
+        min: 0.0,
+        max: 1.0,
+        scopes: &["cluster"],
+    },
     Rule {
         name: "drain_s",
         ty: Type::Number,
