--- a/crates/saltpitch-core/src/cluster.rs
+++ b/crates/saltpitch-core/src/cluster.rs
@@ -328,12 +328,14 @@
         self.images.contains_key(image)
     }
 
-    /// Notes the use of an image; the least recently used ones fall out of the cache.
-    pub fn use_image(&mut self, image: &str, mb: u64, now: Micros) {
+    /// Notes the use of an image; the least recently used ones fall out of the cache. Says which came
+    /// and which went.
+    pub fn use_image(&mut self, image: &str, mb: u64, now: Micros) -> (Vec<String>, Vec<String>) {
         if let Some(i) = self.images.get_mut(image) {
             i.1 = now;
-            return;
+            return (Vec::new(), Vec::new());
         }
+        let mut went = Vec::new();
         self.images.insert(image.to_owned(), (mb, now));
         while self.images.values().map(|i| i.0).sum::<u64>() > self.kind.cache_mb {
             let oldest = self
@@ -342,13 +344,17 @@
                 .min_by_key(|(_, v)| v.1)
                 .map(|(k, _)| k.clone());
             match oldest {
-                Some(k) => self.images.remove(&k),
+                Some(k) => {
+                    self.images.remove(&k);
+                    went.push(k);
+                }
                 None => break,
             };
         }
+        (vec![image.to_owned()], went)
     }
 
-    pub fn forget_images(&mut self) {
-        self.images.clear();
+    pub fn forget_images(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.images).into_keys().collect()
     }
 }
--- a/crates/saltpitch-core/src/fleet.rs
+++ b/crates/saltpitch-core/src/fleet.rs
@@ -63,6 +63,8 @@
     by_key: HashMap<(String, Arc<str>, bool, bool), GroupNo>,
     /// All machines known, by zone.
     pub by_zone: HashMap<Arc<str>, usize>,
+    /// How many machines hold an image, by zone.
+    images: HashMap<String, HashMap<Arc<str>, usize>>,
 }
 
 fn place(p: Priority) -> usize {
@@ -172,6 +174,8 @@
 
     pub fn remove(&mut self, m: &mut Machine) {
         self.set(m, None);
+        let went = m.forget_images();
+        self.images(&m.zone, &[], &went);
         self.groups[m.group].members.remove(&m.name);
         if let Some(n) = self.by_zone.get_mut(&m.zone) {
             *n -= 1;
@@ -211,6 +215,25 @@
         m.indexed.free = free;
     }
 
+    /// Images came to a machine or fell out of its cache.
+    pub fn images(&mut self, zone: &Arc<str>, came: &[String], went: &[String]) {
+        for i in came {
+            let zones = self.images.entry(i.clone()).or_default();
+            *zones.entry(zone.clone()).or_default() += 1;
+        }
+        for i in went {
+            if let Some(n) = self.images.get_mut(i).and_then(|z| z.get_mut(zone)) {
+                *n = n.saturating_sub(1);
+            }
+        }
+    }
+
+    /// How many machines of the zone that has most of them hold this image.
+    pub fn holders(&self, image: &str) -> usize {
+        let zones = self.images.get(image);
+        zones.and_then(|z| z.values().max().copied()).unwrap_or(0)
+    }
+
     /// A task was placed on this machine, or is gone from it.
     pub fn loaded(&mut self, m: &Machine, p: Priority, more: bool) {
         let n = &mut self.groups[m.group].load[place(p)];
--- a/crates/saltpitch-core/src/leader/evidence.rs
+++ b/crates/saltpitch-core/src/leader/evidence.rs
@@ -205,7 +205,8 @@
                 m.report_seq = 0;
                 m.start_seq = 0;
                 if m.session > 0 {
-                    m.forget_images();
+                    let went = m.forget_images();
+                    self.fleet.images(&m.zone, &[], &went);
                     // Its lease ran out although we answered its reports: it did not hear us.
                     let recent = now.since(m.last_answer) < self.cfg.lease;
                     m.deaf
@@ -300,7 +301,8 @@
         }
         if let Some(m) = self.machines.get_mut(name) {
             for (image, mb) in images.into_values() {
-                m.use_image(&image, mb, now);
+                let (came, went) = m.use_image(&image, mb, now);
+                self.fleet.images(&m.zone, &came, &went);
             }
             m.strays = strays;
             // What has exited is told to go in the answer to a report; what still runs is not ours
@@ -388,6 +390,7 @@
         if let Some(job) = self.jobs.get_mut(&no) {
             if job.spec.kind == Kind::Gang && job.placed == 0 {
                 job.gang = Gang::Parked { until: now };
+                job.parked_at = now;
             }
         }
         self.check_complete(no);
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -168,6 +168,8 @@
     pub chunk_revs: Vec<u64>,
     pub gang: Gang,
     pub not_before: Micros,
+    /// When it became idle as a whole again.
+    pub parked_at: Micros,
     /// When a task of it was placed last.
     pub served_at: Micros,
     /// Machines where a task of this job failed or was refused, and until when to avoid them.
@@ -474,6 +476,7 @@
             chunk_revs: vec![0; n.div_ceil(CHUNK as usize)],
             gang: Gang::default(),
             not_before: Micros::ZERO,
+            parked_at: Micros::ZERO,
             served_at: Micros::ZERO,
             avoid: BTreeMap::new(),
             errors: 0,
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -13,6 +13,8 @@
 use crate::records::CHUNK;
 use crate::time::Micros;
 
+/// How long a gang waits for machines that have its image, in times of fetching it.
+const PATIENCE: f64 = 0.6;
 /// For each of these that a job has waited, it counts as half as large.
 const AGEING: Micros = Micros::from_secs(60);
 /// A job of which nothing was placed for this long is the next of those not pressing.
@@ -282,10 +284,25 @@
         let Some(job) = self.jobs.get(&no) else {
             return Vec::new();
         };
+        let holders = self.fleet.holders(&spec.image) as u64;
+        let waited = now.since(job.submitted.max(job.parked_at));
+        // How soon the machines that have its image become free for it, one after the other.
+        let soon = match spec.kind {
+            Kind::Gang if holders > 0 => self.estimate(job).0 * u64::from(spec.tasks) / holders,
+            _ => u64::MAX,
+        };
         let mut list: Vec<(u64, Arc<str>)> = found
             .into_iter()
             .filter_map(|name| {
                 let m = self.machines.get(&name)?;
+                // A large image takes as long to fetch as the gang may soon find a machine that has
+                // it; and this machine may have what another gang needs.
+                if !m.has_image(&spec.image) {
+                    let patience = m.kind.fetch_time(spec.image_mb).times(PATIENCE);
+                    if soon < patience.0 && waited < patience {
+                        return None;
+                    }
+                }
                 let avoided = job.avoid.get(&name).is_some_and(|until| *until > now);
                 (!avoided && self.may_borrow(&spec, m, now))
                     .then(|| (placement::score(&spec, m), name))
@@ -489,7 +506,9 @@
             stops.extend(o.victims);
         }
         // What was found is given time to show its effect; what was not may turn up elsewhere.
-        let wait = if stops.is_empty() { 300 } else { 2_000 };
+        // The more jobs wait, the later it is another one's turn.
+        let turn = 300 * (self.open.len() as u64 / 8).clamp(1, 8);
+        let wait = if stops.is_empty() { turn } else { 2_000 };
         if let Some(job) = self.jobs.get_mut(&w.no) {
             job.search_after = now.plus(Micros::from_millis(wait));
         }
