--- a/crates/saltpitch-core/src/leader/capacity.rs
+++ b/crates/saltpitch-core/src/leader/capacity.rs
@@ -161,23 +161,26 @@
                 continue;
             }
             let spec = job.spec.clone();
-            let (Some(team), Some(claimed)) =
-                (self.quota.team(job.team), claimed.get_mut(job.team))
+            let job_team = job.team;
+            let (Some(team), Some(used)) = (self.quota.team(job_team), claimed.get(job_team))
             else {
                 continue;
             };
             let idle = job.idle.len() as u64;
-            let mut want = team.more(claimed, &spec.need).min(idle);
+            let mut want = team.more(used, &spec.need).min(idle);
             if want == 0 || (spec.kind == Kind::Gang && want < idle) {
                 continue;
             }
-            *claimed = claimed.plus(&spec.need.times(want));
             if spec.kind == Kind::Array {
                 want = self.unserved(w.no, want, w.slack, room, &mut work);
             }
             if want == 0 {
                 continue;
             }
+            // Only what is to run at a time counts against the team's limit.
+            if let Some(claimed) = claimed.get_mut(job_team) {
+                *claimed = claimed.plus(&spec.need.times(want));
+            }
             let terms = Terms {
                 spot: self.spot_wanted(&spec),
                 dear: if spec.kind == Kind::Array {
--- a/crates/saltpitch-core/src/leader/commit.rs
+++ b/crates/saltpitch-core/src/leader/commit.rs
@@ -5,22 +5,24 @@
 
 use serde::Serialize;
 
-use super::{Config, Effect, Leader, Write};
+use super::{Config, Effect, Leader, Place, Task, Write};
 use crate::cluster::{JobNo, Machine, Phase};
 use crate::gang::Gang;
 use crate::job::{JobSpec, JobState, Kind, Priority};
 use crate::records::{
-    block_key, chunk_key, job_key, BlockRecord, ChunkRecord, JobRecord, MachineRecord, PlaceRecord,
-    View, BLOCK, CHUNK, TERM_KEY,
+    block_key, chunk_key, job_key, log_key, BlockRecord, ChunkRecord, Entry, JobRecord, LogRecord,
+    MachineRecord, PlaceRecord, View, BLOCK, CHUNK, TERM_KEY,
 };
 use crate::time::Micros;
 
 /// Between two transactions, so that changes gather and requests stay within the store's rate.
 const GAP: Micros = Micros::from_millis(50);
+/// Changes that are waited for when nothing is urgent.
+const GATHERED: f64 = 4.0;
 /// How long an outcome waits for others of its chunk: users expect `done` only 3 s after the fact.
 const GATHER: Micros = Micros::from_millis(400);
 
-/// Chunks that differ from their records, in the order in which they are to be written.
+/// Tasks that differ from their records, in the order in which they are to be written.
 #[derive(Default)]
 pub(super) struct Dirty {
     due: HashMap<(JobNo, u32), Micros>,
@@ -28,48 +30,54 @@
 }
 
 impl Dirty {
-    fn mark(&mut self, no: JobNo, chunk: u32, due: Micros) {
-        let old = self.due.get(&(no, chunk)).copied();
+    fn mark(&mut self, no: JobNo, task: u32, due: Micros) {
+        let old = self.due.get(&(no, task)).copied();
         if old.is_some_and(|old| old <= due) {
             return;
         }
         if let Some(old) = old {
-            self.queue.remove(&(old, no, chunk));
+            self.queue.remove(&(old, no, task));
         }
-        self.due.insert((no, chunk), due);
-        self.queue.insert((due, no, chunk));
+        self.due.insert((no, task), due);
+        self.queue.insert((due, no, task));
     }
 
-    /// Tasks were placed: production goes before gangs, and both before batch work, whose chunks
-    /// must not keep them waiting when changes are scarce.
-    pub fn placement(&mut self, no: JobNo, chunk: u32, spec: &JobSpec, now: Micros) {
+    /// A task was placed: production goes before gangs, and both before batch work, which must not
+    /// keep them waiting when changes are scarce.
+    pub fn placement(&mut self, no: JobNo, task: u32, spec: &JobSpec, now: Micros) {
         let ahead = match (spec.priority, spec.kind) {
             (Priority::Production, _) => 8,
             (_, Kind::Gang) => 4,
             _ => 0,
         };
-        self.mark(no, chunk, now.since(Micros::from_secs(ahead)));
+        self.mark(no, task, now.since(Micros::from_secs(ahead)));
     }
 
-    /// Tasks ended: that can wait a little.
-    pub fn outcome(&mut self, no: JobNo, chunk: u32, now: Micros) {
-        self.mark(no, chunk, now.plus(GATHER));
+    /// A task ended: that can wait a little.
+    pub fn outcome(&mut self, no: JobNo, task: u32, now: Micros) {
+        self.mark(no, task, now.plus(GATHER));
     }
 
-    pub fn contains(&self, no: JobNo, chunk: u32) -> bool {
-        self.due.contains_key(&(no, chunk))
+    pub fn contains(&self, no: JobNo, task: u32) -> bool {
+        self.due.contains_key(&(no, task))
     }
 
     pub fn len(&self) -> usize {
         self.due.len()
     }
 
-    fn remove(&mut self, no: JobNo, chunk: u32) {
-        if let Some(due) = self.due.remove(&(no, chunk)) {
-            self.queue.remove(&(due, no, chunk));
+    fn remove(&mut self, no: JobNo, task: u32) {
+        if let Some(due) = self.due.remove(&(no, task)) {
+            self.queue.remove(&(due, no, task));
         }
     }
 
+    /// Whether something urgent is due.
+    fn urgent(&self, now: Micros) -> bool {
+        let urgent = now.since(Micros::from_secs(1));
+        self.queue.first().is_some_and(|d| d.0 <= urgent)
+    }
+
     fn jobs(&self) -> Vec<JobNo> {
         let mut all: Vec<JobNo> = self.due.keys().map(|k| k.0).collect();
         all.sort_unstable();
@@ -78,6 +86,46 @@
     }
 }
 
+/// The largest segment.
+const SEGMENT_BYTES: usize = 16 * 1024;
+
+/// The log of placements and outcomes.
+pub(super) struct Log {
+    /// Keys that the segments go round in.
+    ring: u64,
+    /// The next segment's number.
+    next: u64,
+    /// Revision of each key in use.
+    revs: BTreeMap<u32, u64>,
+    /// Chunks that each segment speaks of and that may still need it.
+    live: BTreeMap<u64, Vec<(JobNo, u32)>>,
+}
+
+impl Log {
+    pub fn new(view: &View, cfg: &Config) -> Log {
+        Log {
+            ring: cfg.log_ring,
+            next: view.last_segment + 1,
+            revs: view.log.iter().map(|(slot, s)| (*slot, s.rev)).collect(),
+            live: BTreeMap::new(),
+        }
+    }
+
+    /// What the segments on record speak of, once the jobs are known.
+    pub fn recall(&mut self, view: &View, by_id: &HashMap<Arc<str>, JobNo>) {
+        for s in view.log.values() {
+            let known = s.chunks.iter();
+            let known = known.filter_map(|(id, c)| Some((*by_id.get(id.as_str())?, *c)));
+            self.live.insert(s.no, known.collect());
+        }
+    }
+
+    /// The key that the next segment goes to.
+    fn slot(&self) -> u32 {
+        (self.next % self.ring) as u32
+    }
+}
+
 /// Machines of one type, zone and kind that share a record.
 struct Block {
     type_name: String,
@@ -85,6 +133,7 @@
     spot: bool,
     members: BTreeSet<Arc<str>>,
     bytes: usize,
+    rev: u64,
 }
 
 /// The machines' records.
@@ -106,7 +155,7 @@
             due: BTreeMap::new(),
             max_bytes: cfg.value_bytes * 3 / 4,
         };
-        for (no, (_, rec)) in &view.blocks {
+        for (no, (rev, rec)) in &view.blocks {
             b.next = b.next.max(no + 1);
             let members = rec.machines.iter().map(|m| m.0.as_str().into()).collect();
             b.all.insert(
@@ -117,6 +166,7 @@
                     spot: rec.spot,
                     members,
                     bytes: rec.machines.iter().map(|m| bytes_of(&m.0, &m.1)).sum(),
+                    rev: *rev,
                 },
             );
         }
@@ -170,6 +220,7 @@
                 spot: key.2,
                 members: BTreeSet::from([m.name.clone()]),
                 bytes,
+                rev: 0,
             },
         );
         self.open.insert(key, no);
@@ -239,6 +290,9 @@
 /// The transaction under way.
 #[derive(Default)]
 pub(super) struct Pending {
+    /// The segment's key and the tasks that it speaks of.
+    segment: Option<u32>,
+    tasks: BTreeSet<(JobNo, u32)>,
     chunks: Vec<(JobNo, u32)>,
     finals: Vec<JobNo>,
     blocks: Vec<(u32, Members)>,
@@ -285,9 +339,9 @@
         if self.paused || !self.final_jobs.is_empty() || !self.leftovers.is_empty() {
             return Some(Micros::ZERO);
         }
-        let chunk = self.dirty.queue.first().map(|d| d.0);
+        let task = self.dirty.queue.first().map(|d| d.0);
         let block = self.blocks.due.values().min().copied();
-        chunk.into_iter().chain(block).min()
+        task.into_iter().chain(block).min()
     }
 
     /// Sends the next transaction if there is something to write and none is under way.
@@ -302,8 +356,15 @@
         }
         let level = self.pace.level(self.cfg.txn_ops, now);
         let ops = self.cfg.txn_ops.min(level as usize);
-        if ops == 0 {
-            self.next_txn = self.pace.ready(1.0).max(now.plus(Micros::from_millis(10)));
+        // Changes gather while they are scarce; what is urgent does not wait for others.
+        let least = if self.dirty.urgent(now) {
+            1.0
+        } else {
+            GATHERED
+        };
+        if level < least {
+            let ready = self.pace.ready(least);
+            self.next_txn = ready.max(now.plus(Micros::from_millis(10)));
             return;
         }
         let max = self.cfg.txn_bytes;
@@ -313,13 +374,11 @@
             bytes: 100,
         };
         let mut p = Pending::default();
-        // What is urgent is never behind what is merely many.
-        let urgent = now.since(Micros::from_secs(1));
-        self.add_chunks(&mut b, &mut p, ops, max, urgent);
+        self.add_segment(&mut b, &mut p, ops, max, now);
         let half = b.writes.len() + (ops - b.writes.len()).div_ceil(2);
         self.add_finals(&mut b, &mut p, half, max);
         self.add_blocks(&mut b, &mut p, ops, max, now);
-        self.add_chunks(&mut b, &mut p, ops, max, now);
+        self.add_checkpoints(&mut b, &mut p, ops, max);
         self.add_finals(&mut b, &mut p, ops, max);
         while let Some(key) = self.leftovers.front().cloned() {
             if !b.fits(ops, 1, 300, max) {
@@ -365,8 +424,8 @@
                 }),
             );
             self.final_jobs.remove(&no);
-            for c in 0..job.chunk_revs.len() {
-                self.dirty.remove(no, c as u32);
+            for task in 0..job.spec.tasks {
+                self.dirty.remove(no, task);
             }
             p.finals.push(no);
         }
@@ -410,6 +469,8 @@
                 return;
             }
             self.blocks.due.remove(&no);
+            // A transaction of ours that is applied late must not undo a later one.
+            b.when(block_key(no), block.rev);
             if value.is_none() {
                 let key = (block.type_name.clone(), block.zone.clone(), block.spot);
                 if self.blocks.open.get(&key) == Some(&no) {
@@ -421,34 +482,119 @@
         }
     }
 
-    /// Adds the chunks that were due by `by`.
-    fn add_chunks(&mut self, b: &mut Batch, p: &mut Pending, ops: usize, max: usize, by: Micros) {
-        while let Some(&(due, no, c)) = self.dirty.queue.first() {
-            if due > by {
+    /// Adds a segment with all that is dirty, what is due first, as far as it goes in one value.
+    fn add_segment(&mut self, b: &mut Batch, p: &mut Pending, ops: usize, max: usize, now: Micros) {
+        if self.dirty.queue.first().is_none_or(|d| d.0 > now) || !self.slot_is_free() {
+            return;
+        }
+        let limit = (self.cfg.value_bytes * 7 / 8)
+            .min(SEGMENT_BYTES)
+            .min(max / 2);
+        let mut entries: BTreeMap<JobNo, Vec<Entry>> = BTreeMap::new();
+        let mut bytes = 60;
+        // The segment's own key and a few finals and blocks need conditions as well.
+        let conditions = (ops * 4).saturating_sub(b.when.len() + 2 * ops + 1).max(1);
+        while let Some(&(_, no, task)) = self.dirty.queue.first() {
+            let Some(job) = self.jobs.get_mut(&no) else {
+                self.dirty.remove(no, task);
+                continue;
+            };
+            let head = if entries.contains_key(&no) {
+                0
+            } else {
+                job.id.len() + 8
+            };
+            if bytes + head + 250 > limit || (head > 0 && entries.len() >= conditions) {
+                break;
+            }
+            self.dirty.remove(no, task);
+            let entry = entry_of(task, &mut job.tasks[task as usize], job.gang);
+            bytes += head + entry.2.len() + 32;
+            entries.entry(no).or_default().push(entry);
+            p.tasks.insert((no, task));
+        }
+        if entries.is_empty() {
+            return;
+        }
+        let mut rec = LogRecord {
+            no: self.log.next,
+            entries: Vec::with_capacity(entries.len()),
+        };
+        for (no, list) in entries {
+            if let Some(job) = self.jobs.get(&no) {
+                // Nothing is placed for a job that was cancelled meanwhile.
+                if list.iter().any(|e| !e.2.is_empty()) {
+                    b.when(job_key(&job.id), job.rev);
+                }
+                rec.entries.push((job.id.to_string(), list));
+            }
+        }
+        let slot = self.log.slot();
+        let rev = self.log.revs.get(&slot).copied().unwrap_or(0);
+        b.when(log_key(slot), rev);
+        b.write(log_key(slot), json(&rec));
+        p.segment = Some(slot);
+    }
+
+    /// Whether nothing needs the segment any more that the next one overwrites.
+    fn slot_is_free(&mut self) -> bool {
+        self.forget_segments();
+        let first = self.log.live.keys().next();
+        first.is_none_or(|no| no + self.log.ring > self.log.next)
+    }
+
+    /// Drops the oldest segments of which checkpoints hold all that still matters.
+    fn forget_segments(&mut self) {
+        while let Some((no, chunks)) = self.log.live.first_key_value() {
+            let needed = chunks.iter().any(|(job, c)| self.needs(*no, *job, *c));
+            if needed {
                 return;
             }
+            self.log.live.pop_first();
+        }
+    }
+
+    fn needs(&self, segment: u64, job: JobNo, chunk: u32) -> bool {
+        let job = self.jobs.get(&job);
+        job.and_then(|j| j.chunks.get(chunk as usize))
+            .is_some_and(|at| at.1 < segment)
+    }
+
+    /// Adds checkpoints of what the oldest segments speak of, before these are overwritten.
+    fn add_checkpoints(&mut self, b: &mut Batch, p: &mut Pending, ops: usize, max: usize) {
+        self.forget_segments();
+        let upto = self.log.next - u64::from(p.segment.is_none());
+        // Some way ahead of the segment that is overwritten next.
+        let ahead = self.log.next + self.log.ring / 8 + 1;
+        let old: Vec<(JobNo, u32)> = (self.log.live.iter())
+            .take_while(|(no, _)| **no + self.log.ring < ahead)
+            .take(8)
+            .flat_map(|(no, chunks)| chunks.iter().map(move |c| (*no, *c)))
+            .filter(|(no, (job, c))| self.needs(*no, *job, *c))
+            .map(|(_, chunk)| chunk)
+            .collect();
+        for (no, c) in old {
+            if p.chunks.contains(&(no, c)) {
+                continue;
+            }
             let Some(job) = self.jobs.get_mut(&no) else {
-                self.dirty.remove(no, c);
                 continue;
             };
-            // A gang's members go on record at quorum, not before.
             let lo = c * CHUNK;
             let hi = (lo + CHUNK).min(job.spec.tasks);
-            let rec = chunk_record(&job.tasks[lo as usize..hi as usize], job.gang);
+            let rec = chunk_record(&job.tasks[lo as usize..hi as usize], job.gang, upto);
             let Some(value) = json(&rec) else { continue };
             if !b.fits(ops, 1, value.len() + 200, max) {
                 return;
             }
-            self.dirty.remove(no, c);
             b.when(job_key(&job.id), job.rev);
             let key = chunk_key(&job.id, c);
-            b.when(key.clone(), job.chunk_revs[c as usize]);
+            b.when(key.clone(), job.chunks[c as usize].0);
             b.write(key, Some(value));
-            let holding = matches!(job.gang, Gang::Holding { .. });
-            for t in &mut job.tasks[lo as usize..hi as usize] {
-                if let Some(place) = t.place.as_mut() {
-                    place.in_txn = !holding || place.committed;
-                }
+            for task in lo..hi {
+                // The checkpoint says it as well.
+                self.dirty.remove(no, task);
+                entry_of(task, &mut job.tasks[task as usize], job.gang);
             }
             p.chunks.push((no, c));
         }
@@ -486,6 +632,9 @@
             {
                 self.blocks.all.remove(&no);
             }
+            if let Some(block) = self.blocks.all.get_mut(&no) {
+                block.rev = rev;
+            }
             for (name, returning) in members {
                 let Some(m) = self.machines.get_mut(&name) else {
                     continue;
@@ -500,18 +649,34 @@
                 }
             }
         }
+        if let Some(slot) = p.segment {
+            self.log.revs.insert(slot, rev);
+            let mut chunks: Vec<(JobNo, u32)> =
+                p.tasks.iter().map(|t| (t.0, t.1 / CHUNK)).collect();
+            chunks.dedup();
+            self.log.live.insert(self.log.next, chunks);
+            self.log.next += 1;
+        }
+        let mut tasks = p.tasks;
+        let upto = self.log.next - 1;
+        for (no, c) in p.chunks {
+            if let Some(job) = self.jobs.get_mut(&no) {
+                job.chunks[c as usize] = (rev, upto);
+                let hi = (c * CHUNK + CHUNK).min(job.spec.tasks);
+                tasks.extend((c * CHUNK..hi).map(|t| (no, t)));
+            }
+        }
         let mut stops = Vec::new();
         let mut calls = Vec::new();
-        for (no, c) in p.chunks {
+        let mut jobs: Vec<JobNo> = tasks.iter().map(|t| t.0).collect();
+        jobs.dedup();
+        for no in jobs {
             let Some(job) = self.jobs.get_mut(&no) else {
                 continue;
             };
-            job.chunk_revs[c as usize] = rev;
             let cancelled = job.state != JobState::Active;
-            let lo = c * CHUNK;
-            let hi = (lo + CHUNK).min(job.spec.tasks);
-            for t in &mut job.tasks[lo as usize..hi as usize] {
-                if let Some(place) = t.place.as_mut() {
+            for (_, task) in tasks.range((no, 0)..=(no, u32::MAX)) {
+                if let Some(place) = job.tasks[*task as usize].place.as_mut() {
                     if place.in_txn {
                         place.in_txn = false;
                         place.committed = true;
@@ -551,16 +716,19 @@
     }
 
     fn undo_commit(&mut self, p: Pending, now: Micros) {
-        for (no, c) in &p.chunks {
-            if let Some(job) = self.jobs.get_mut(no) {
-                let lo = c * CHUNK;
-                let hi = (lo + CHUNK).min(job.spec.tasks);
-                for t in &mut job.tasks[lo as usize..hi as usize] {
-                    if let Some(place) = t.place.as_mut() {
-                        place.in_txn = false;
-                    }
+        let mut tasks = p.tasks;
+        for (no, c) in p.chunks {
+            if let Some(job) = self.jobs.get(&no) {
+                let hi = (c * CHUNK + CHUNK).min(job.spec.tasks);
+                tasks.extend((c * CHUNK..hi).map(|t| (no, t)));
+            }
+        }
+        for (no, task) in tasks {
+            if let Some(job) = self.jobs.get_mut(&no) {
+                if let Some(place) = job.tasks[task as usize].place.as_mut() {
+                    place.in_txn = false;
                 }
-                self.dirty.placement(*no, *c, &job.spec, now);
+                self.dirty.placement(no, task, &job.spec, now);
             }
         }
         self.final_jobs.extend(p.finals);
@@ -579,6 +747,17 @@
         };
         self.paused = false;
         self.next_txn = now;
+        // What a transaction without an answer did, if it was carried out.
+        self.log.revs = view.log.iter().map(|(slot, s)| (*slot, s.rev)).collect();
+        for s in view.log.values().filter(|s| s.no >= self.log.next) {
+            let known = s.chunks.iter();
+            let known = known.filter_map(|(id, c)| Some((*self.by_id.get(id.as_str())?, *c)));
+            self.log.live.insert(s.no, known.collect());
+        }
+        self.log.next = self.log.next.max(view.last_segment + 1);
+        for (no, block) in &mut self.blocks.all {
+            block.rev = view.blocks.get(no).map_or(0, |b| b.0);
+        }
         let mut touched: Vec<JobNo> = self.dirty.jobs();
         touched.extend(self.final_jobs.iter());
         touched.sort_unstable();
@@ -588,9 +767,9 @@
                 continue;
             };
             let id = job.id.clone();
-            for (c, rev) in job.chunk_revs.iter_mut().enumerate() {
+            for (c, at) in job.chunks.iter_mut().enumerate() {
                 let seen = view.chunks.get(&*id).and_then(|x| x.get(&(c as u32)));
-                *rev = seen.map_or(0, |s| s.0);
+                *at = seen.map_or((0, 0), |s| (s.rev, s.upto));
             }
             // A final record that was written although its answer was lost.
             let over = view
@@ -615,19 +794,23 @@
         };
         self.by_id.remove(&job.id);
         self.at_barrier.remove(&no);
-        for (c, rev) in job.chunk_revs.iter().enumerate() {
-            self.dirty.remove(no, c as u32);
+        for task in 0..job.spec.tasks {
+            self.dirty.remove(no, task);
+        }
+        for (c, (rev, _)) in job.chunks.iter().enumerate() {
             if *rev > 0 {
                 self.leftovers.push_back(chunk_key(&job.id, c as u32));
             }
         }
     }
 
-    /// Whether this chunk is part of the transaction under way.
-    pub(super) fn in_flight(&self, no: JobNo, chunk: u32) -> bool {
-        self.txn
-            .as_ref()
-            .is_some_and(|t| t.chunks.contains(&(no, chunk)) || t.finals.contains(&no))
+    /// Whether this task's state is part of the transaction under way.
+    pub(super) fn in_flight(&self, no: JobNo, task: u32) -> bool {
+        self.txn.as_ref().is_some_and(|t| {
+            t.tasks.contains(&(no, task))
+                || t.chunks.contains(&(no, task / CHUNK))
+                || t.finals.contains(&no)
+        })
     }
 
     fn wall_of(&self, at: Micros, now: Micros) -> Micros {
@@ -636,19 +819,35 @@
     }
 }
 
-fn chunk_record(tasks: &[super::Task], gang: Gang) -> ChunkRecord {
-    let holding = matches!(gang, Gang::Holding { .. });
-    let mut rec = ChunkRecord::default();
+/// A gang's members go on record at quorum, not before.
+fn on_record(place: &Place, gang: Gang) -> bool {
+    place.committed || !matches!(gang, Gang::Holding { .. })
+}
+
+/// What the log says of a task; its place is part of the transaction from now on.
+fn entry_of(task: u32, t: &mut Task, gang: Gang) -> Entry {
+    let mut entry = Entry(task, t.attempt, String::new(), 0, u8::from(t.done));
+    if let Some(place) = t.place.as_mut().filter(|p| on_record(p, gang)) {
+        place.in_txn = true;
+        entry.2 = place.machine.to_string();
+        entry.3 = place.session;
+    }
+    entry
+}
+
+fn chunk_record(tasks: &[Task], gang: Gang, upto: u64) -> ChunkRecord {
+    let mut rec = ChunkRecord {
+        upto,
+        ..ChunkRecord::default()
+    };
     for (i, t) in tasks.iter().enumerate() {
         rec.attempts.push(t.attempt);
         if t.done {
             rec.add_done(i as u32);
         }
-        if let Some(p) = &t.place {
-            if !holding || p.committed {
-                rec.places
-                    .push(PlaceRecord(i as u32, p.machine.to_string(), p.session));
-            }
+        if let Some(p) = t.place.as_ref().filter(|p| on_record(p, gang)) {
+            rec.places
+                .push(PlaceRecord(i as u32, p.machine.to_string(), p.session));
         }
     }
     rec
--- a/crates/saltpitch-core/src/leader/evidence.rs
+++ b/crates/saltpitch-core/src/leader/evidence.rs
@@ -539,11 +539,10 @@
         let Some(no) = self.by_id.get(s.job.as_str()) else {
             return true;
         };
-        let chunk = s.task / crate::records::CHUNK;
-        if self.dirty.contains(*no, chunk) || self.final_jobs.contains(no) {
+        if self.dirty.contains(*no, s.task) || self.final_jobs.contains(no) {
             return false;
         }
-        if self.in_flight(*no, chunk) {
+        if self.in_flight(*no, s.task) {
             return false;
         }
         let place = self
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -38,6 +38,9 @@
     /// Changes a second that a leader may write, and the most bytes of one value.
     pub write_rate: f64,
     pub value_bytes: usize,
+    /// Keys that the log's segments go round in: at ten segments a second, most batch jobs should
+    /// be over before what was said of them has to be said again in a checkpoint.
+    pub log_ring: u64,
     /// Bytes that one transaction may hold, with room to spare.
     pub txn_bytes: usize,
     pub teams: Vec<TeamLimits>,
@@ -164,8 +167,8 @@
     pub idle: BTreeSet<u32>,
     pub placed: u32,
     pub done: u32,
-    /// Revision of each chunk record; 0: not there.
-    pub chunk_revs: Vec<u64>,
+    /// Revision of each chunk record (0: not there), and the log's segment up to which it holds.
+    pub chunks: Vec<(u64, u64)>,
     pub gang: Gang,
     pub not_before: Micros,
     /// When it became idle as a whole again.
@@ -246,6 +249,7 @@
     final_jobs: BTreeSet<JobNo>,
     blocks: commit::Blocks,
     gone_machines: Gone,
+    log: commit::Log,
     leftovers: VecDeque<String>,
     txn: Option<commit::Pending>,
     paused: bool,
@@ -262,6 +266,9 @@
     /// When a machine was last heard.
     last_heard: Micros,
     schedule_wanted: bool,
+    /// Teams of which, in this pass, the rest of the limit is kept for a starved gang: of the
+    /// accelerators alone, or of everything.
+    kept_for: Vec<(usize, bool)>,
     /// When a job was last found waiting.
     waited_at: Micros,
     /// Processors that production asked for lately, fading with time, and as of when.
@@ -312,6 +319,7 @@
             pace: commit::Pace::new(cfg.write_rate, now),
             dirty: commit::Dirty::default(),
             blocks: commit::Blocks::new(view, &cfg),
+            log: commit::Log::new(view, &cfg),
             cfg,
             term: view.term.1.term,
             term_rev: view.term.0,
@@ -344,6 +352,7 @@
             probes_out: 0,
             last_heard: Micros::ZERO,
             schedule_wanted: true,
+            kept_for: Vec::new(),
             waited_at: now,
             demand: (0.0, now),
             searches: 0,
@@ -386,6 +395,7 @@
         for id in ids {
             l.job_changed(view, id, now, wall);
         }
+        l.log.recall(view, &l.by_id);
         for (id, chunks) in &view.chunks {
             if !l.by_id.contains_key(id.as_str()) {
                 l.leftovers
@@ -450,7 +460,6 @@
             }
             return;
         }
-        let chunks = view.chunks.get(id);
         let Some(spec) = entry.record.spec.clone() else {
             return;
         };
@@ -473,7 +482,7 @@
             idle: (0..spec.tasks).collect(),
             placed: 0,
             done: 0,
-            chunk_revs: vec![0; n.div_ceil(CHUNK as usize)],
+            chunks: vec![(0, 0); n.div_ceil(CHUNK as usize)],
             gang: Gang::default(),
             not_before: Micros::ZERO,
             parked_at: Micros::ZERO,
@@ -487,23 +496,17 @@
             spec,
         };
         let mut places = Vec::new();
-        for (&c, (rev, chunk)) in chunks.into_iter().flatten() {
-            let Some(slot) = job.chunk_revs.get_mut(c as usize) else {
-                continue;
-            };
-            *slot = *rev;
-            for (i, a) in chunk.attempts.iter().enumerate() {
-                if let Some(t) = job.tasks.get_mut(c as usize * CHUNK as usize + i) {
-                    t.attempt = *a;
-                }
-            }
-            for i in chunk.done_tasks() {
-                if let Some(t) = job.tasks.get_mut((c * CHUNK + i) as usize) {
-                    t.done = true;
-                }
+        for (&c, at) in view.chunks.get(id).into_iter().flatten() {
+            if let Some(slot) = job.chunks.get_mut(c as usize) {
+                *slot = (at.rev, at.upto);
             }
-            for p in &chunk.places {
-                places.push((c * CHUNK + p.0, p.1.clone(), p.2));
+        }
+        let known = view.tasks.get(id).map_or(&[][..], |t| &t.tasks);
+        for (i, (t, rec)) in job.tasks.iter_mut().zip(known).enumerate() {
+            t.attempt = rec.attempt;
+            t.done = rec.done;
+            if let Some(place) = &rec.place {
+                places.push((i as u32, place.0.clone(), place.1));
             }
         }
         job.done = job.tasks.iter().filter(|t| t.done).count() as u32;
@@ -538,7 +541,7 @@
                 }
                 _ => {
                     lost = true;
-                    self.dirty.outcome(no, task / CHUNK, now);
+                    self.dirty.outcome(no, task, now);
                 }
             }
         }
@@ -690,7 +693,10 @@
             self.open.remove(&no);
         }
         job.placed += 1;
-        job.served_at = now;
+        // What is assumed at the gang barrier may have to be given back.
+        if committed || job.spec.kind != Kind::Gang {
+            job.served_at = now;
+        }
         job.started |= job.idle.is_empty();
         *job.zones.entry(m.zone.clone()).or_default() += 1;
         m.holds.insert((no, task));
@@ -759,7 +765,7 @@
         }
         // In doubt, the record is written again: it must not keep a place that memory has dropped.
         if place.committed || place.in_txn {
-            self.dirty.outcome(no, task / CHUNK, now);
+            self.dirty.outcome(no, task, now);
         }
         self.schedule_wanted = true;
     }
@@ -829,7 +835,7 @@
             if job.idle.is_empty() {
                 self.open.remove(&no);
             }
-            self.dirty.outcome(no, task / CHUNK, now);
+            self.dirty.outcome(no, task, now);
         }
     }
 
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -10,7 +10,6 @@
 use crate::job::{JobSpec, Kind, Priority};
 use crate::placement;
 use crate::preemption::{choose, loss, Victim};
-use crate::records::CHUNK;
 use crate::time::Micros;
 
 /// How long a gang waits for machines that have its image, in times of fetching it.
@@ -68,6 +67,9 @@
             let rank = match (j.spec.priority, guaranteed) {
                 (Priority::Production, _) => 0u8,
                 (_, true) if due.is_some() || young => 1,
+                // A gang that needs most of its team's limit at once never finds it free while others
+                // of the team come first.
+                _ if starved && j.spec.kind == Kind::Gang => 1,
                 (Priority::High, _) => 2,
                 _ if starved => 3,
                 _ if due.is_some_and(|d| d.since(now) <= Micros::from_secs(120)) => 3,
@@ -157,11 +159,12 @@
     pub(super) fn schedule(&mut self, now: Micros) {
         self.loosen(now);
         self.searches = SEARCHES;
+        self.kept_for.clear();
         for w in self.waiting(now) {
             let Some(job) = self.jobs.get(&w.no) else {
                 continue;
             };
-            if job.not_before > now {
+            if job.not_before > now || self.kept_from(job) {
                 continue;
             }
             match job.spec.kind {
@@ -187,6 +190,14 @@
             && now.since(job.submitted) > Micros::from_secs(20)
     }
 
+    /// What its team has left is kept for a gang that has waited too long: nothing behind that one
+    /// takes of the same kind until it has started.
+    fn kept_from(&self, job: &Job) -> bool {
+        self.kept_for
+            .iter()
+            .any(|(team, only_gpu)| *team == job.team && (!only_gpu || job.spec.need.gpu > 0))
+    }
+
     /// Takes back the room of all gangs at the barrier, so that this pass deals it out anew, oldest
     /// first: two gangs must not each hold what the other lacks.
     fn loosen(&mut self, now: Micros) {
@@ -345,7 +356,7 @@
                 }
                 let (session, attempt) = (m.session, job.next_attempt(task));
                 self.hold(no, task, name.clone(), session, attempt, false, now);
-                self.dirty.placement(no, task / CHUNK, &spec, now);
+                self.dirty.placement(no, task, &spec, now);
                 more -= 1;
             }
         }
@@ -370,6 +381,12 @@
         let need = job.spec.need;
         let idle = job.idle.len() as u64;
         if self.quota.more(job.team, &need) < idle {
+            if self.starved(job, now) {
+                // Of processors, everybody's tasks take; of accelerators, only some.
+                let cpu = Res { gpu: 0, ..need };
+                let only_gpu = self.quota.more(job.team, &cpu) >= idle;
+                self.kept_for.push((job.team, only_gpu));
+            }
             return self.park(w.no, now);
         }
         let one_zone = job.spec.one_zone;
@@ -394,9 +411,10 @@
         match permit(job.placed, n, since, now, wait) {
             Permit::Allow => {
                 job.gang = Gang::Committing;
+                job.served_at = now;
                 self.at_barrier.remove(&w.no);
-                for c in 0..n.div_ceil(CHUNK) {
-                    self.dirty.placement(w.no, c, &spec, now);
+                for task in 0..n {
+                    self.dirty.placement(w.no, task, &spec, now);
                 }
             }
             Permit::Wait => {
--- a/crates/saltpitch-core/src/leadership.rs
+++ b/crates/saltpitch-core/src/leadership.rs
@@ -1,7 +1,154 @@
 //! Who leads: when to take office, how long to go on without the store, when to give way.
 
+use crate::leader::Write;
+use crate::records::{node_key, LeaderRecord, NodeRecord, TermRecord, View, LEADER_KEY, TERM_KEY};
 use crate::time::Micros;
 
+/// How long the hold on the leadership lasts without renewal.
+pub const HOLD: Micros = Micros::from_secs(3);
+
+/// Whether the leadership can be taken by this process as far as its records say: nobody holds it,
+/// or an earlier life of this same node does, which is proven over by this one.
+pub fn vacant(view: &View, me: &str, life: u64) -> bool {
+    match &view.leader {
+        None => true,
+        Some(l) => l.1.node == me && l.1.life < life,
+    }
+}
+
+/// One try at the leadership: what to write and on what conditions, and who led before.
+#[derive(Clone, Debug)]
+pub struct Bid {
+    pub term: u64,
+    pub when: Vec<(String, u64)>,
+    /// The write of [`LEADER_KEY`] is to be attached to the hold.
+    pub writes: Vec<Write>,
+    /// The leader before, if it is not proven gone.
+    previous: Option<(String, u64)>,
+    /// Time of day from which the leaders before that one answer nobody.
+    elders: Micros,
+}
+
+/// From when on no earlier leader can answer a worker.
+#[derive(Clone, Debug)]
+pub struct Silence {
+    /// The leader before, if it is not proven gone.
+    pub previous: Option<(String, u64)>,
+    pub elders_at: Micros,
+    pub all_at: Micros,
+}
+
+/// A bid on the records as this node has them; none if the leadership is not vacant. `bound`: how
+/// long a leader may answer workers after it was last confirmed.
+pub fn bid(view: &View, me: &str, life: u64, bound: Micros, wall: Micros) -> Option<Bid> {
+    if !vacant(view, me, life) {
+        return None;
+    }
+    let (term_rev, old) = &view.term;
+    let previous = (*term_rev > 0)
+        .then(|| (old.node.clone(), old.life))
+        .filter(|(name, life)| view.life(name) <= *life);
+    let term = TermRecord {
+        term: old.term + 1,
+        node: me.to_owned(),
+        life,
+        quiet: match previous {
+            Some(_) => old.quiet.max(wall.plus(bound)),
+            None => old.quiet,
+        },
+    };
+    let leader = LeaderRecord {
+        node: me.to_owned(),
+        life,
+        term: term.term,
+    };
+    let leader_rev = view.leader.as_ref().map_or(0, |l| l.0);
+    Some(Bid {
+        term: term.term,
+        when: vec![
+            (TERM_KEY.to_owned(), *term_rev),
+            (LEADER_KEY.to_owned(), leader_rev),
+        ],
+        writes: vec![
+            Write {
+                key: TERM_KEY.to_owned(),
+                value: serde_json::to_string(&term).ok(),
+            },
+            Write {
+                key: LEADER_KEY.to_owned(),
+                value: serde_json::to_string(&leader).ok(),
+            },
+        ],
+        previous,
+        elders: old.quiet,
+    })
+}
+
+impl Bid {
+    /// The bid was carried out at `rev`. None if the records have gone on since: then the office is
+    /// another's already.
+    pub fn won(
+        self,
+        view: &View,
+        rev: u64,
+        bound: Micros,
+        clock_error: Micros,
+        now: Micros,
+        wall: Micros,
+    ) -> Option<Silence> {
+        if view.term.0 != rev {
+            return None;
+        }
+        let previous = self
+            .previous
+            .filter(|(name, life)| view.life(name) <= *life);
+        // Clocks agree on the time of day within a bound.
+        let elders_at = now.plus(self.elders.plus(clock_error.times(2.0)).since(wall));
+        let all_at = match &previous {
+            Some(_) => elders_at.max(now.plus(bound)),
+            None => elders_at,
+        };
+        Some(Silence {
+            previous,
+            elders_at,
+            all_at,
+        })
+    }
+}
+
+/// What a leader writes that gives way: the office is free, and a new life of this node proves that
+/// the one that led answers nobody any more.
+pub fn resignation(
+    view: &View,
+    me: &str,
+    life: u64,
+    term_rev: u64,
+) -> (Vec<(String, u64)>, Vec<Write>) {
+    let key = node_key(me);
+    let node_rev = view.nodes.get(me).map_or(0, |n| n.0);
+    let writes = vec![
+        Write {
+            key: LEADER_KEY.to_owned(),
+            value: None,
+        },
+        Write {
+            key: key.clone(),
+            value: serde_json::to_string(&NodeRecord { life }).ok(),
+        },
+    ];
+    (
+        vec![(TERM_KEY.to_owned(), term_rev), (key, node_rev)],
+        writes,
+    )
+}
+
+/// Whether a leader that has lost the store may go on answering workers beyond its bound: only when
+/// every other node has just said that it has no store either, so that nobody can take over or
+/// cancel anything.
+pub fn common_outage(peers: usize, say_no_store: usize) -> bool {
+    peers > 0 && say_no_store == peers
+}
+
 /// How long a leader may go on answering workers after its last confirmed renewal. A cancelled
 /// task must be gone `cancel` after its user was told, and a worker that was answered last at the
 /// very end of this span keeps its tasks for one lease more.
--- a/crates/saltpitch-core/src/records.rs
+++ b/crates/saltpitch-core/src/records.rs
@@ -10,7 +10,7 @@
 use serde_json::value::RawValue;
 
 use crate::catalog::Catalog;
-use crate::job::{JobSpec, JobState};
+use crate::job::{JobSpec, JobState, MAX_TASKS};
 use crate::time::Micros;
 
 pub const PREFIX: &str = "salt/";
@@ -30,6 +30,9 @@
 pub fn chunk_key(id: &str, chunk: u32) -> String {
     format!("salt/c/{id}/{chunk}")
 }
+pub fn log_key(slot: u32) -> String {
+    format!("salt/l/{slot}")
+}
 pub fn block_key(block: u32) -> String {
     format!("salt/b/{block}")
 }
@@ -80,9 +83,12 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlaceRecord(pub u32, pub String, pub u64);
 
-/// The state of up to [`CHUNK`] tasks of a job.
+/// The state of up to [`CHUNK`] tasks of a job: a checkpoint of what the log says of them.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ChunkRecord {
+    /// The log's segment up to which this holds.
+    #[serde(rename = "l", default)]
+    pub upto: u64,
     /// Highest attempt used, per task.
     #[serde(rename = "a")]
     pub attempts: Vec<u32>,
@@ -110,6 +116,77 @@
     }
 }
 
+/// What became of one task: its number, attempt, machine and session (empty: nowhere), and whether
+/// it has completed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry(pub u32, pub u32, pub String, pub u64, pub u8);
+
+/// A segment of the log: changes of any number of jobs in one value, since changes of keys are
+/// scarce. Segments are written to a ring of keys; one is overwritten only when checkpoints hold
+/// whatever it said of jobs that are not over.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LogRecord {
+    #[serde(rename = "n")]
+    pub no: u64,
+    #[serde(rename = "e")]
+    pub entries: Vec<(String, Vec<Entry>)>,
+}
+
+/// A task as the newest record of it says.
+#[derive(Clone, Debug, Default)]
+pub struct TaskState {
+    /// The segment that said so.
+    seg: u64,
+    pub attempt: u32,
+    pub done: bool,
+    /// Machine and session.
+    pub place: Option<Box<(String, u64)>>,
+}
+
+/// The tasks of a job, as far as anything is on record of them.
+#[derive(Clone, Debug, Default)]
+pub struct TaskStates {
+    pub tasks: Vec<TaskState>,
+    running: u32,
+    done: u32,
+}
+
+impl TaskStates {
+    /// Whatever comes late or twice, the newest segment's word stays.
+    fn set(&mut self, task: u32, new: TaskState) {
+        let at = task as usize;
+        if at >= self.tasks.len() {
+            if task >= MAX_TASKS {
+                return;
+            }
+            self.tasks.resize(at + 1, TaskState::default());
+        }
+        let old = &mut self.tasks[at];
+        if new.seg < old.seg {
+            return;
+        }
+        self.running =
+            self.running + u32::from(new.place.is_some()) - u32::from(old.place.is_some());
+        self.done = self.done + u32::from(new.done) - u32::from(old.done);
+        *old = new;
+    }
+}
+
+/// What a view keeps of a segment: its revision, its number, and the chunks that it speaks of.
+#[derive(Clone, Debug)]
+pub struct Segment {
+    pub rev: u64,
+    pub no: u64,
+    pub chunks: Vec<(String, u32)>,
+}
+
+/// What a view keeps of a chunk's record: its revision, and up to which segment it holds.
+#[derive(Clone, Copy, Debug)]
+pub struct Checkpoint {
+    pub rev: u64,
+    pub upto: u64,
+}
+
 /// One machine of a block: name, address, and whether its return to the cloud is intended (nothing
 /// is placed on it again), and the time of day at which it was rented or first seen.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -178,7 +255,13 @@
 pub struct View {
     pub rev: u64,
     pub jobs: HashMap<String, JobEntry>,
-    pub chunks: HashMap<String, BTreeMap<u32, (u64, ChunkRecord)>>,
+    /// The tasks of jobs that are not over.
+    pub tasks: HashMap<String, TaskStates>,
+    pub chunks: HashMap<String, BTreeMap<u32, Checkpoint>>,
+    /// The log's segments by their key.
+    pub log: BTreeMap<u32, Segment>,
+    /// The highest segment heard of.
+    pub last_segment: u64,
     pub blocks: BTreeMap<u32, (u64, BlockRecord)>,
     pub nodes: BTreeMap<String, (u64, NodeRecord)>,
     pub term: (u64, TermRecord),
@@ -230,16 +313,25 @@
                 if self.jobs.get(id).is_some_and(|x| rev <= x.rev) {
                     return Ok(Change::None);
                 }
-                let record = parse(raw)?;
+                let record: JobRecord = parse(raw)?;
+                if record.spec.is_none() {
+                    self.tasks.remove(id);
+                }
                 self.jobs.insert(id.to_owned(), JobEntry { rev, record });
                 Ok(Change::Job(id.to_owned()))
             }
             Key::Chunk(id, no) => {
                 let chunks = self.chunks.entry(id.to_owned()).or_default();
-                if chunks.get(&no).is_some_and(|x| rev <= x.0) {
+                if chunks.get(&no).is_some_and(|x| rev <= x.rev) {
                     return Ok(Change::None);
                 }
-                chunks.insert(no, (rev, parse(raw)?));
+                let record: ChunkRecord = parse(raw)?;
+                let upto = record.upto;
+                chunks.insert(no, Checkpoint { rev, upto });
+                self.last_segment = self.last_segment.max(upto);
+                if !self.is_over(id) {
+                    self.take_checkpoint(id, no, record);
+                }
                 Ok(Change::Chunk)
             }
             Key::Block(no) => {
@@ -257,6 +349,17 @@
                 self.blocks.insert(no, (rev, new));
                 Ok(Change::Machine)
             }
+            Key::Log(slot) => {
+                if self.log.get(&slot).is_some_and(|x| rev <= x.rev) {
+                    return Ok(Change::None);
+                }
+                let record: LogRecord = parse(raw)?;
+                let no = record.no;
+                self.last_segment = self.last_segment.max(no);
+                let chunks = self.take_segment(record);
+                self.log.insert(slot, Segment { rev, no, chunks });
+                Ok(Change::Chunk)
+            }
             Key::Old => {
                 self.old_layout = true;
                 Err("it is laid out by an earlier version; see CHANGELOG.md".to_owned())
@@ -274,7 +377,7 @@
             }
             Key::Chunk(id, no) => {
                 if let Some(chunks) = self.chunks.get_mut(id) {
-                    if chunks.get(&no).is_some_and(|c| c.0 < rev) {
+                    if chunks.get(&no).is_some_and(|c| c.rev < rev) {
                         chunks.remove(&no);
                     }
                     if chunks.is_empty() {
@@ -297,15 +400,66 @@
 
     /// Running and completed tasks of a job, for display.
     pub fn counts(&self, id: &str) -> (u64, u64) {
-        let Some(chunks) = self.chunks.get(id) else {
-            return (0, 0);
-        };
-        chunks.values().fold((0, 0), |(run, done), (_, c)| {
-            (
-                run + c.places.len() as u64,
-                done + c.done.iter().map(|r| u64::from(r.1)).sum::<u64>(),
-            )
-        })
+        let all = self.tasks.get(id);
+        all.map_or((0, 0), |t| (u64::from(t.running), u64::from(t.done)))
+    }
+
+    /// The final record was written: what is said of its tasks means nothing any more.
+    fn is_over(&self, id: &str) -> bool {
+        self.jobs.get(id).is_some_and(|j| j.record.spec.is_none())
+    }
+
+    fn take_checkpoint(&mut self, id: &str, chunk: u32, record: ChunkRecord) {
+        let mut new: Vec<TaskState> = (record.attempts.iter())
+            .take(CHUNK as usize)
+            .map(|a| TaskState {
+                seg: record.upto,
+                attempt: *a,
+                ..TaskState::default()
+            })
+            .collect();
+        for i in record.done_tasks() {
+            if let Some(t) = new.get_mut(i as usize) {
+                t.done = true;
+            }
+        }
+        for PlaceRecord(i, machine, session) in record.places {
+            if let Some(t) = new.get_mut(i as usize) {
+                t.place = Some(Box::new((machine, session)));
+            }
+        }
+        let states = self.tasks.entry(id.to_owned()).or_default();
+        for (i, t) in new.into_iter().enumerate() {
+            states.set(chunk.saturating_mul(CHUNK).saturating_add(i as u32), t);
+        }
+    }
+
+    /// Takes in a segment; says which chunks it speaks of.
+    fn take_segment(&mut self, record: LogRecord) -> Vec<(String, u32)> {
+        let mut chunks = Vec::new();
+        for (id, entries) in record.entries {
+            let mut of_job: Vec<u32> = entries.iter().map(|e| e.0 / CHUNK).collect();
+            of_job.sort_unstable();
+            of_job.dedup();
+            chunks.extend(of_job.into_iter().map(|c| (id.clone(), c)));
+            if self.is_over(&id) {
+                continue;
+            }
+            let states = self.tasks.entry(id).or_default();
+            for Entry(task, attempt, machine, session, done) in entries {
+                let place = (!machine.is_empty()).then(|| Box::new((machine, session)));
+                states.set(
+                    task,
+                    TaskState {
+                        seg: record.no,
+                        attempt,
+                        done: done > 0,
+                        place,
+                    },
+                );
+            }
+        }
+        chunks
     }
 
     /// Takes over the names of returned machines from an older copy: what that one knew and this one
@@ -336,6 +490,7 @@
     Job(&'a str),
     Chunk(&'a str, u32),
     Block(u32),
+    Log(u32),
     /// A kind of record that this version does not read.
     Old,
     Other,
@@ -354,6 +509,9 @@
     if let Some(no) = key.strip_prefix("salt/b/") {
         return no.parse().map_or(Key::Other, Key::Block);
     }
+    if let Some(no) = key.strip_prefix("salt/l/") {
+        return no.parse().map_or(Key::Other, Key::Log);
+    }
     if key.starts_with("salt/m/") || key.starts_with("salt/p/") {
         return Key::Old;
     }
--- a/crates/saltpitch-core/tests/directed.rs
+++ b/crates/saltpitch-core/tests/directed.rs
@@ -31,6 +31,7 @@
         txn_bytes: 50_000,
         write_rate: 60.0,
         value_bytes: 8 * 1024,
+        log_ring: 16,
         teams: ["red", "blue"]
             .iter()
             .map(|n| TeamLimits {
@@ -109,6 +110,7 @@
     };
     put(view, &job_key("job-1"), &rec, 3);
     let chunk = ChunkRecord {
+        upto: 0,
         attempts: vec![1],
         done: Vec::new(),
         places: vec![PlaceRecord(0, machine.to_owned(), 1)],
--- a/crates/saltpitch-testkit/src/nodes.rs
+++ b/crates/saltpitch-testkit/src/nodes.rs
@@ -5,16 +5,12 @@
 
 use saltpitch_core::catalog::Catalog;
 use saltpitch_core::leader::{Config, Leader, Write};
-use saltpitch_core::leadership::answer_bound;
-use saltpitch_core::records::{
-    node_key, LeaderRecord, NodeRecord, TermRecord, View, LEADER_KEY, TERM_KEY,
-};
+use saltpitch_core::leadership::{self, answer_bound, Bid, HOLD};
+use saltpitch_core::records::{node_key, NodeRecord, View};
 use saltpitch_core::Micros;
 
 use crate::store::Store;
 
-pub const HOLD: Micros = Micros::from_secs(3);
-
 pub struct Node {
     pub name: String,
     pub zone: String,
@@ -33,6 +29,8 @@
     pub no_workers_until: Micros,
     pub shy_until: Micros,
     pub deaf_since: Option<Micros>,
+    /// A bid for the leadership is under way.
+    pub bidding: bool,
 }
 
 impl Node {
@@ -54,6 +52,7 @@
             no_workers_until: Micros::ZERO,
             shy_until: Micros::ZERO,
             deaf_since: None,
+            bidding: false,
         }
     }
 
@@ -148,67 +147,37 @@
         self.announced = matches!(done, saltpitch_core::leader::Outcome::Done(_));
     }
 
-    /// Takes office if it is vacant. The stand-in's election is instant; what follows is not.
-    pub fn elect(&mut self, store: &mut Store, cfg: &Config, catalog: &Arc<Catalog>, now: Micros) {
-        let leader_rev = match &self.view.leader {
-            None => 0,
-            Some(l) if l.1.node == self.name && l.1.life < self.life => l.0,
-            Some(_) => return,
-        };
-        let Some(hold) = store.open_hold(HOLD, now) else {
-            return;
-        };
+    /// The first half of an election, on the records as this node has them: they may be old.
+    pub fn bid(&mut self, store: &mut Store, cfg: &Config, now: Micros) -> Option<(Bid, u64)> {
         let bound = answer_bound(cfg.cancel, cfg.lease);
-        let (term_rev, old) = self.view.term.clone();
-        let previous = (term_rev > 0)
-            .then(|| (old.node.clone(), old.life))
-            .filter(|(n, life)| self.view.life(n) <= *life);
-        let quiet = match previous {
-            Some(_) => old.quiet.max(now.plus(bound)),
-            None => old.quiet,
-        };
-        let term = TermRecord {
-            term: old.term + 1,
-            node: self.name.clone(),
-            life: self.life,
-            quiet,
-        };
-        let leader = LeaderRecord {
-            node: self.name.clone(),
-            life: self.life,
-            term: term.term,
-        };
-        let writes = [
-            Write {
-                key: TERM_KEY.to_owned(),
-                value: serde_json::to_string(&term).ok(),
-            },
-            Write {
-                key: LEADER_KEY.to_owned(),
-                value: serde_json::to_string(&leader).ok(),
-            },
-        ];
-        let when = [
-            (TERM_KEY.to_owned(), term_rev),
-            (LEADER_KEY.to_owned(), leader_rev),
-        ];
-        let done = store.txn(&when, &writes, Some((hold, LEADER_KEY)));
-        if !matches!(done, saltpitch_core::leader::Outcome::Done(_)) {
-            store.drop_hold(hold);
-            return;
-        }
-        self.follow(store, now);
-        self.elders_silent_at = now.plus(old.quiet.since(now));
-        let silent = match &previous {
-            Some(_) => self.elders_silent_at.max(now.plus(bound)),
-            None => self.elders_silent_at,
+        let bid = leadership::bid(&self.view, &self.name, self.life, bound, now)?;
+        let hold = store.open_hold(HOLD, now)?;
+        Some((bid, hold))
+    }
+
+    /// The second half: the transaction was carried out at `rev`, and the records were read since.
+    pub fn begin(
+        &mut self,
+        bid: Bid,
+        hold: u64,
+        rev: u64,
+        cfg: &Config,
+        catalog: &Arc<Catalog>,
+        now: Micros,
+    ) -> bool {
+        let bound = answer_bound(cfg.cancel, cfg.lease);
+        let Some(silence) = bid.won(&self.view, rev, bound, Micros::ZERO, now, now) else {
+            return false;
         };
-        self.previous = previous;
+        self.elders_silent_at = silence.elders_at;
+        self.previous = silence.previous;
         self.epoch += 1;
         self.hold = Some(hold);
         self.answers_until = now.plus(bound);
-        let mut l = Leader::new(cfg.clone(), &self.view, catalog.clone(), silent, now, now);
+        let all_at = silence.all_at;
+        let mut l = Leader::new(cfg.clone(), &self.view, catalog.clone(), all_at, now, now);
         l.open_zones.insert(self.zone.clone());
         self.leader = Some(l);
+        true
     }
 }
--- a/crates/saltpitch-testkit/src/rules.rs
+++ b/crates/saltpitch-testkit/src/rules.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 
 use saltpitch_core::catalog::Res;
-use saltpitch_core::job::JobState;
+use saltpitch_core::job::{JobSpec, JobState, Kind};
 use saltpitch_core::records::{job_key, JobRecord};
+use saltpitch_core::Micros;
 
-use crate::world::World;
+use crate::world::{UserJob, World};
 
 /// The first rule that the world as it stands breaks.
 pub fn check(w: &World) -> Result<(), String> {
@@ -53,6 +54,53 @@
     outcomes(w)
 }
 
+/// How soon the largest jobs have to begin.
+pub const BEGIN: Micros = Micros::from_secs(240);
+
+/// A history as a whole: of each class, of each team and of each class's largest jobs at least half
+/// is served, and the largest begin within four minutes. The largest are the largest tenth of a
+/// class by tasks, at least one. Served is: an array or a gang is done, a service ran whole. Jobs
+/// that were cancelled, or fail everywhere, don't count.
+pub fn served(w: &World) -> Result<(), String> {
+    let mut groups: BTreeMap<String, Vec<(&str, &UserJob)>> = BTreeMap::new();
+    for (id, job) in &w.jobs {
+        // Spread over zones and bound to one, it can't run whole.
+        let torn = job.spec.spread && job.spec.zone.is_some() && job.spec.tasks > 1;
+        if job.accepted && !job.mistaken && !torn && job.cancelled_at.is_none() {
+            let JobSpec { class, team, .. } = &job.spec;
+            for name in [format!("class {class}"), format!("team {team}")] {
+                groups.entry(name).or_default().push((id, job));
+            }
+        }
+    }
+    for (name, mut largest) in groups.clone() {
+        if !name.starts_with("class") {
+            continue;
+        }
+        largest.sort_by_key(|j| std::cmp::Reverse(j.1.spec.tasks));
+        largest.truncate(largest.len().div_ceil(10));
+        for (id, job) in &largest {
+            let waited = job.begun_at.unwrap_or(w.now).since(job.submitted_at);
+            if waited > BEGIN {
+                let (tasks, waited) = (job.spec.tasks, waited.as_secs_f64());
+                return Err(format!("{id} ({name}, {tasks} tasks) waited {waited:.0} s"));
+            }
+        }
+        groups.insert(format!("largest of {name}"), largest);
+    }
+    for (name, jobs) in groups {
+        let well = jobs.iter().filter(|(id, j)| match j.spec.kind {
+            Kind::Service => j.begun_at.is_some(),
+            _ => w.is_done(id),
+        });
+        let well = well.count();
+        if well * 2 < jobs.len() {
+            return Err(format!("{name}: {well} of {} served", jobs.len()));
+        }
+    }
+    Ok(())
+}
+
 fn zones(w: &World) -> Result<(), String> {
     let mut by_job: BTreeMap<&str, BTreeMap<&str, u32>> = BTreeMap::new();
     for m in w.workers.values().filter(|m| !m.gone) {
@@ -74,6 +122,15 @@
 
 fn outcomes(w: &World) -> Result<(), String> {
     for (id, job) in &w.jobs {
+        // Once all troubles are over, every node answers questions about every accepted job.
+        if job.accepted {
+            for (n, at) in job.answered.iter().enumerate() {
+                let unanswered = w.now.since((*at).max(w.calm_since));
+                if unanswered > Micros::from_secs(75) {
+                    return Err(format!("forgotten: {id} by {}", w.nodes[n].name));
+                }
+            }
+        }
         let Some(entry) = w.store.keys.get(&job_key(id)) else {
             if job.accepted {
                 return Err(format!("forgotten: {id}"));
--- a/crates/saltpitch-testkit/src/workers.rs
+++ b/crates/saltpitch-testkit/src/workers.rs
@@ -41,6 +41,8 @@
     pub boots_at: Micros,
     pub gone: bool,
     pub hung_until: Micros,
+    /// Until then its reports go out, and nothing reaches it.
+    pub deaf_until: Micros,
     pub session: u64,
     pub seq: u64,
     pub token: u64,
--- a/crates/saltpitch-testkit/src/world.rs
+++ b/crates/saltpitch-testkit/src/world.rs
@@ -12,7 +12,7 @@
 use saltpitch_core::leader::{
     Aim, Config, Effect, Leader, ListedMachine, Objective, Ordered, Outcome, Rented, Write,
 };
-use saltpitch_core::leadership::{answer_bound, Hearing};
+use saltpitch_core::leadership::{answer_bound, resignation, Hearing};
 use saltpitch_core::policy::Policy;
 use saltpitch_core::quota::TeamLimits;
 use saltpitch_core::records::{job_key, JobRecord, LEADER_KEY, TERM_KEY};
@@ -42,9 +42,17 @@
     pub outages: bool,
     pub machines: bool,
     pub losses: bool,
+    /// Machines whose reports arrive while answers and commands don't reach them.
+    pub deaf: bool,
+    /// Copies of reports that come again, seconds to several leases later, at any node.
+    pub copies: bool,
 }
 
 impl Faults {
+    fn any(&self) -> bool {
+        self.crashes || self.cuts || self.zone_cuts || self.outages
+    }
+
     pub fn all() -> Faults {
         Faults {
             crashes: true,
@@ -53,6 +61,8 @@
             outages: true,
             machines: true,
             losses: true,
+            deaf: true,
+            copies: true,
         }
     }
 }
@@ -61,6 +71,11 @@
     pub spec: JobSpec,
     pub accepted: bool,
     pub cancelled_at: Option<Micros>,
+    pub submitted_at: Micros,
+    /// When all of it first ran that runs at a time (of an array: any of it).
+    pub begun_at: Option<Micros>,
+    /// When each node last could answer a question about it.
+    pub answered: Vec<Micros>,
     /// Submitted with a mistake: it fails on every machine until its user cancels it.
     pub mistaken: bool,
 }
@@ -103,6 +118,10 @@
     pub faults: Faults,
     /// The two zones can't reach each other until then.
     pub apart_until: Micros,
+    /// Since when nothing has been wrong with nodes, store and network.
+    pub calm_since: Micros,
+    /// How often the leadership was given up for want of reports.
+    pub resignations: u64,
     /// Machines that were up and reachable from somewhere when the service returned them.
     pub returned_alive: u64,
     cfg: Config,
@@ -129,6 +148,7 @@
         txn_bytes: 50_000,
         write_rate: 60.0,
         value_bytes: 8 * 1024,
+        log_ring: 16,
         teams: teams.to_vec(),
         objectives: vec![Objective {
             class: "web".to_owned(),
@@ -191,6 +211,8 @@
             faults,
             apart_until: Micros::ZERO,
             returned_alive: 0,
+            calm_since: Micros::ZERO,
+            resignations: 0,
             catalog: Arc::new(machine_types()),
             requests: BTreeMap::new(),
             next_machine: 0,
@@ -259,6 +281,59 @@
             self.worker_tick(&name);
         }
         self.gangs();
+        if self.now.0 % 1_000_000 < TICK.0 {
+            self.ask_all();
+        }
+    }
+
+    /// Users ask about every job, and every node that is in service is to know each of them: by
+    /// itself, or through a peer that has the store.
+    fn ask_all(&mut self) {
+        let now = self.now;
+        let wrong = self.store.down
+            || now < self.apart_until
+            || self
+                .nodes
+                .iter()
+                .any(|n| !n.is_up(now) || now < n.no_store_until || now < n.no_workers_until);
+        if wrong || (now < self.quiet_from && self.faults.any()) {
+            self.calm_since = now;
+        }
+        for node in &mut self.nodes {
+            if node.reaches_store(&self.store, now) && node.is_up(now) {
+                node.follow(&self.store, now);
+            }
+        }
+        let known = |node: &Node, id: &str| {
+            node.is_up(now)
+                && node.reaches_store(&self.store, now)
+                && node.view.jobs.contains_key(id)
+        };
+        let mut begun = Vec::new();
+        for (id, job) in &mut self.jobs {
+            let by_any = self.nodes.iter().any(|n| known(n, id));
+            for (n, node) in self.nodes.iter().enumerate() {
+                if node.is_up(now) && by_any {
+                    job.answered[n] = now;
+                }
+            }
+            if job.begun_at.is_none() {
+                begun.push(id.clone());
+            }
+        }
+        for id in begun {
+            let on = self.running(&id) as u32;
+            if let Some(job) = self.jobs.get_mut(&id) {
+                let least = if job.spec.kind == Kind::Array {
+                    1
+                } else {
+                    job.spec.tasks
+                };
+                if on >= least {
+                    job.begun_at = Some(now);
+                }
+            }
+        }
     }
 
     // Troubles.
@@ -299,6 +374,16 @@
             let wait = Micros::from_secs(2 + self.luck(25));
             self.after(wait, |w| w.store.down = false);
         }
+        if self.chance(f.deaf, 0.03) && !self.workers.is_empty() {
+            let until = self.now.plus(Micros::from_secs(3 + self.luck(60)));
+            // One, or a group of them.
+            for _ in 0..1 + self.luck(3) {
+                let at = self.luck(self.workers.len() as u64) as usize;
+                if let Some(m) = self.workers.values_mut().nth(at) {
+                    m.deaf_until = until;
+                }
+            }
+        }
         if self.chance(f.machines, 0.05) && !self.workers.is_empty() {
             let at = self.luck(self.workers.len() as u64) as usize;
             let (kind, wait) = (self.luck(3), self.luck(25));
@@ -348,6 +433,12 @@
         node.no_workers_until.max(apart).since(self.now)
     }
 
+    /// How long what is sent to this machine is held back.
+    fn unheard(&self, machine: &str) -> Micros {
+        let m = self.workers.get(machine);
+        m.map_or(Micros::ZERO, |m| m.deaf_until.since(self.now))
+    }
+
     fn node_tick(&mut self, n: usize) {
         let now = self.now;
         if !self.nodes[n].is_up(now) {
@@ -370,9 +461,8 @@
                 self.resign(n, reaches);
             }
         } else if reaches && self.nodes[n].announced && now >= self.nodes[n].shy_until {
-            let (cfg, catalog) = (self.cfg.clone(), self.catalog.clone());
             if self.rng.random_bool(0.3) {
-                self.nodes[n].elect(&mut self.store, &cfg, &catalog, now);
+                self.elect(n);
             }
         }
         self.poll(n);
@@ -381,6 +471,53 @@
         }
     }
 
+    /// An election takes time: the hold is opened, the transaction travels, its answer may be lost,
+    /// and the records are read again. Processes end and return, and others bid, in between.
+    fn elect(&mut self, n: usize) {
+        if std::mem::replace(&mut self.nodes[n].bidding, true) {
+            return;
+        }
+        let cfg = self.cfg.clone();
+        let now = self.now;
+        let (life, epoch) = (self.nodes[n].life, self.nodes[n].epoch);
+        let Some((bid, hold)) = self.nodes[n].bid(&mut self.store, &cfg, now) else {
+            self.nodes[n].bidding = false;
+            return;
+        };
+        let same = move |w: &World| w.nodes[n].life == life && w.nodes[n].epoch == epoch;
+        let lost = self.faults.losses && self.luck(5) == 0;
+        let late = if lost {
+            self.luck(4_000)
+        } else {
+            self.luck(300)
+        };
+        self.after(Micros::from_millis(late), move |w| {
+            // Sent is sent: it is carried out whether or not the process still lives.
+            let done = w
+                .store
+                .txn(&bid.when, &bid.writes, Some((hold, LEADER_KEY)));
+            let d = Micros::from_millis(w.luck(300));
+            w.after(d, move |w| {
+                if !same(w) || !w.nodes[n].is_up(w.now) {
+                    return;
+                }
+                w.nodes[n].bidding = false;
+                let reaches = w.nodes[n].reaches_store(&w.store, w.now);
+                match done {
+                    Outcome::Done(rev) if !lost && reaches => {
+                        let (now, cfg, catalog) = (w.now, w.cfg.clone(), w.catalog.clone());
+                        w.nodes[n].follow(&w.store, now);
+                        if !w.nodes[n].begin(bid, hold, rev, &cfg, &catalog, now) {
+                            w.store.drop_hold(hold);
+                        }
+                    }
+                    _ if reaches => w.store.drop_hold(hold),
+                    _ => {}
+                }
+            });
+        });
+    }
+
     fn renew(&mut self, n: usize, hold: u64, reaches: bool) {
         let answer = if reaches {
             self.store.touch(hold, self.now)
@@ -418,22 +555,17 @@
     }
 
     fn resign(&mut self, n: usize, reaches: bool) {
+        self.resignations += 1;
         let node = &mut self.nodes[n];
         let Some(rev) = node.leader.as_ref().map(Leader::term_rev) else {
             return;
         };
         node.depose();
         node.shy_until = self.now.plus(Micros::from_secs(30));
-        node.announced = false;
-        if reaches {
-            let write = Write {
-                key: LEADER_KEY.to_owned(),
-                value: None,
-            };
-            let _ = self
-                .store
-                .txn(&[(TERM_KEY.to_owned(), rev)], &[write], None);
-        }
+        node.life += 1;
+        let (when, writes) = resignation(&node.view, &node.name, node.life, rev);
+        let done = reaches && matches!(self.store.txn(&when, &writes, None), Outcome::Done(_));
+        node.announced = done;
     }
 
     fn poll(&mut self, n: usize) {
@@ -494,7 +626,7 @@
             Effect::Probe { machine, .. } => {
                 let d = self.delay();
                 self.after(d, move |w| {
-                    if w.cut(n, &machine) > Micros::ZERO {
+                    if w.cut(n, &machine).max(w.unheard(&machine)) > Micros::ZERO {
                         w.tell(n, epoch, |l, now| l.probe_failed(&machine, now));
                         return;
                     }
@@ -638,7 +770,7 @@
         orders: Vec<Order>,
     ) {
         let starts = orders.iter().any(|o| matches!(o, Order::Start { .. }));
-        let cut = self.cut(n, &machine);
+        let cut = self.cut(n, &machine).max(self.unheard(&machine));
         let hung = self
             .workers
             .get(&*machine)
@@ -753,6 +885,7 @@
                     boots_at: self.now.plus(boot),
                     gone: false,
                     hung_until: Micros::ZERO,
+                    deaf_until: Micros::ZERO,
                     session: 1,
                     seq: 0,
                     token: 0,
@@ -861,10 +994,31 @@
             // A cut holds packets and delivers them when it ends.
             let held = self.cut(target, name);
             let wait = held.plus(self.delay());
+            if self.chance(self.faults.copies, 1.5) {
+                let copy = r.clone();
+                let (n, late) = (self.luck(3) as usize, 1_000 + self.luck(60_000));
+                self.after(wait.plus(Micros::from_millis(late)), move |w| {
+                    w.deliver_copy(n, copy)
+                });
+            }
             self.after(wait, move |w| w.deliver(target, r));
         }
     }
 
+    /// A copy of an old report: whatever is answered, nobody listens.
+    fn deliver_copy(&mut self, n: usize, r: Report) {
+        let now = self.now;
+        if !self.nodes[n].may_answer(now) {
+            return;
+        }
+        let node = &mut self.nodes[n];
+        let gone = node.view.gone.contains(&r.machine);
+        if let Some(l) = node.leader.as_mut() {
+            let _ = l.report(r, gone, now);
+        }
+        self.poll(n);
+    }
+
     fn deliver(&mut self, n: usize, r: Report) {
         let now = self.now;
         if !self.nodes[n].is_up(now) {
@@ -904,7 +1058,8 @@
         leader: Option<usize>,
     ) {
         let now = self.now;
-        let Some(m) = self.workers.get_mut(name).filter(|m| m.is_up(now)) else {
+        let hears = |m: &&mut Worker| m.is_up(now) && now >= m.deaf_until;
+        let Some(m) = self.workers.get_mut(name).filter(hears) else {
             return;
         };
         let Some((waiting, sent)) = m.waiting.filter(|w| w.0 == seq && m.session == session) else {
@@ -1011,6 +1166,9 @@
             spec: spec.clone(),
             accepted: false,
             cancelled_at: None,
+            submitted_at: self.now,
+            begun_at: None,
+            answered: vec![self.now; self.nodes.len()],
             mistaken: id.ends_with('7') && spec.kind == Kind::Array,
         });
         let record = JobRecord {
@@ -1116,6 +1274,11 @@
             .count()
     }
 
+    /// The node that may answer workers, if there is one.
+    pub fn leader(&self) -> Option<usize> {
+        self.nodes.iter().position(|n| n.may_answer(self.now))
+    }
+
     pub fn heal(&mut self) {
         self.faults = Faults::default();
         self.store.down = false;
--- a/crates/saltpitch-testkit/tests/world.rs
+++ b/crates/saltpitch-testkit/tests/world.rs
@@ -1,8 +1,8 @@
 //! Seeded histories of a whole site, the rules checked after each step.
 
-use saltpitch_core::job::Kind;
+use saltpitch_core::job::{Kind, Priority};
 use saltpitch_core::Micros;
-use saltpitch_testkit::{Faults, World};
+use saltpitch_testkit::{rules, Faults, World};
 
 /// Plays a history: jobs come for `busy` seconds, some are cancelled, troubles end with them; then
 /// the site has `calm` seconds to complete what it accepted.
@@ -145,6 +145,127 @@
     }
 }
 
+#[test]
+fn machines_that_do_not_hear_the_controllers() {
+    let f = Faults {
+        deaf: true,
+        ..Faults::default()
+    };
+    many(800..812, f, 100, 300);
+}
+
+fn run(w: &mut World, until: u64) {
+    w.run(Micros::from_secs(until)).expect("no rule is broken");
+}
+
+/// Nothing new goes to a deaf machine, its work goes on elsewhere, and it is returned in the end. A
+/// group of them, most of those there are, does not unseat a healthy leader.
+#[test]
+fn deaf_machines_are_left_and_the_leader_stays() {
+    for seed in 820..826 {
+        let mut w = World::new(seed, Faults::default(), Micros::ZERO);
+        let mut spec = w.draw_job();
+        spec.kind = Kind::Service;
+        (spec.tasks, spec.spread, spec.zone) = (6, false, None);
+        (spec.need.cpu, spec.need.gpu, spec.spot) = (6_000, 0, false);
+        run(&mut w, 5);
+        w.submit("job-000001", spec);
+        run(&mut w, 60);
+        assert_eq!(w.running("job-000001"), 6, "seed {seed}");
+        let leader = w.leader();
+        let there = w.workers.values().filter(|m| !m.gone);
+        let group: Vec<String> = there.map(|m| m.name.clone()).take(4).collect();
+        for name in &group {
+            let m = w.workers.get_mut(name).expect("a machine");
+            m.deaf_until = Micros::from_secs(100_000);
+        }
+        run(&mut w, 160);
+        assert_eq!(w.running("job-000001"), 6, "seed {seed}: went on elsewhere");
+        for name in &group {
+            assert!(w.workers[name].gone, "seed {seed}: {name} is still there");
+        }
+        assert_eq!((w.leader(), w.resignations), (leader, 0), "seed {seed}");
+    }
+}
+
+#[test]
+fn copies_of_reports_come_late() {
+    let f = Faults {
+        copies: true,
+        crashes: true,
+        machines: true,
+        ..Faults::default()
+    };
+    many(900..916, f, 100, 300);
+}
+
+/// The leader loses the state service and the other controllers, but not its workers, for longer
+/// than any bound: another takes over, the workers move, cancellations stay within their time.
+#[test]
+fn a_leader_without_store_and_peers() {
+    for seed in 840..848 {
+        let mut w = World::new(seed, Faults::default(), Micros::ZERO);
+        run(&mut w, 5);
+        for i in 0..8 {
+            let spec = w.draw_job();
+            w.submit(&format!("job-84{i:04}"), spec);
+        }
+        run(&mut w, 30);
+        let old = w.leader().expect("a leader");
+        w.nodes[old].no_store_until = w.now.plus(Micros::from_secs(120));
+        run(&mut w, 34);
+        for i in 0..4 {
+            w.cancel(&format!("job-84{i:04}"));
+        }
+        // The rules hold the tasks of cancelled jobs to their time.
+        run(&mut w, 130);
+        let new = w.leader();
+        assert!(new.is_some_and(|n| n != old), "seed {seed}: {new:?}");
+        run(&mut w, 400);
+        rules::served(&w).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+    }
+}
+
+/// Small jobs keep coming, more than the site can serve: the large ones begin all the same, and
+/// half of everything is served.
+#[test]
+fn the_largest_begin_under_steady_overload() {
+    for seed in 860..863 {
+        let mut w = World::new(seed, Faults::default(), Micros::ZERO);
+        let mut count = 0;
+        let mut submit = |w: &mut World, kind: Kind, tasks: u32| {
+            let mut spec = w.draw_job();
+            let gang = kind == Kind::Gang;
+            spec.kind = kind;
+            spec.class = if gang { "train" } else { "batch" }.to_owned();
+            spec.team = if count / 2 % 2 == 0 { "red" } else { "blue" }.to_owned();
+            (spec.tasks, spec.spread, spec.zone, spec.one_zone) = (tasks, false, None, false);
+            (spec.need.cpu, spec.need.gpu) = (2_000, if gang { 1_000 } else { 0 });
+            (spec.spot, spec.estimate) = (true, Micros::from_secs(10));
+            spec.priority = if gang {
+                Priority::High
+            } else {
+                Priority::Normal
+            };
+            count += 1;
+            w.submit(&format!("job-86{count:03}0"), spec);
+        };
+        for t in 0..300 {
+            run(&mut w, t * 2);
+            submit(&mut w, Kind::Array, 8);
+            if t % 3 == 0 {
+                submit(&mut w, Kind::Gang, 1);
+            }
+            if t % 40 == 5 && t < 180 {
+                submit(&mut w, Kind::Array, 90);
+                submit(&mut w, Kind::Gang, 6);
+            }
+        }
+        run(&mut w, 800);
+        rules::served(&w).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+    }
+}
+
 #[test]
 fn everything_at_once() {
     many(600..630, Faults::all(), 120, 400);
--- a/crates/saltpitch/src/http.rs
+++ b/crates/saltpitch/src/http.rs
@@ -19,8 +19,8 @@
 /// Addresses with kept connections; beyond that, connections are used once.
 const MAX_ADDRS: usize = 300;
 const CONNECT: Duration = Duration::from_millis(1_000);
-/// The largest answer taken: a watch's answer has no limit of its own.
-const MAX_ANSWER: usize = 16 * 1024 * 1024;
+/// The largest answer taken: a watch's answer has no limit of its own, but this node's memory has.
+const MAX_ANSWER: usize = 6 * 1024 * 1024;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallError {
--- a/crates/saltpitch/src/lead.rs
+++ b/crates/saltpitch/src/lead.rs
@@ -8,17 +8,14 @@
 use rand::Rng;
 use saltpitch_core::cluster::Order;
 use saltpitch_core::leader::{Effect, Leader, Ordered, Outcome, Write};
-use saltpitch_core::leadership::{answer_bound, election_delay, Hearing};
-use saltpitch_core::records::{self, LeaderRecord, TermRecord, LEADER_KEY, TERM_KEY};
+use saltpitch_core::leadership::{self, answer_bound, election_delay, Bid, Hearing, HOLD};
+use saltpitch_core::records::{TermRecord, LEADER_KEY, TERM_KEY};
 use saltpitch_core::Micros;
 
 use crate::http::CallError;
 use crate::node::{Inner, Node};
 use crate::wire::workers;
 
-/// How long the hold on the leadership lasts without renewal.
-const HOLD: Micros = Micros::from_secs(3);
-
 /// A node's part in leadership.
 #[derive(Default)]
 pub struct Office {
@@ -82,12 +79,9 @@
         let ready = {
             let mut i = node.lock();
             let ready = i.synced && i.announced && i.catalog.is_some();
-            let own_old = i
-                .view
-                .leader
-                .as_ref()
-                .is_some_and(|l| l.1.node == node.settings.node && l.1.life < i.life);
-            if !ready || (i.view.leader.is_some() && !own_old) {
+            let vacant = leadership::vacant(&i.view, &node.settings.node, i.life);
+            let own_old = vacant && i.view.leader.is_some();
+            if !ready || !vacant {
                 vacant_since = None;
                 None
             } else {
@@ -118,12 +112,14 @@
             // When no peer has the store either, nobody can take over or cancel anything: the
             // workers' leases are kept alive.
             let now = node.now();
-            let all = node.settings.peers.iter().all(|p| {
+            let peers = &node.settings.peers;
+            let say_no_store = peers.iter().filter(|p| {
                 i.peers.get(&p.node).is_some_and(|x| {
                     !x.hello.store_up && now.since(x.at) < Micros::from_millis(2_500)
                 })
             });
-            if all && i.office.leader.is_some() && !node.settings.peers.is_empty() {
+            let common = leadership::common_outage(peers.len(), say_no_store.count());
+            if common && i.office.leader.is_some() {
                 let until = now.plus(Micros::from_secs(3));
                 i.office.answers_until = i.office.answers_until.max(until);
             }
@@ -164,7 +160,7 @@
 
 /// Gives way in order: the office ends here first, then on record.
 async fn resign(node: &Arc<Node>) {
-    let (hold, rev, node_rev, life) = {
+    let (hold, when, writes) = {
         let mut i = node.lock();
         let Some(rev) = i.office.leader.as_ref().map(Leader::term_rev) else {
             return;
@@ -173,21 +169,9 @@
         i.office.depose("workers do not reach this node");
         i.office.shy_until = node.now().plus(Micros::from_secs(30));
         i.life = node.clock.wall().0.max(i.life + 1);
-        let node_rev = i.view.nodes.get(&node.settings.node).map_or(0, |n| n.0);
-        (hold, rev, node_rev, i.life)
+        let (when, writes) = leadership::resignation(&i.view, &node.settings.node, i.life, rev);
+        (hold, when, writes)
     };
-    let node_key = records::node_key(&node.settings.node);
-    let writes = [
-        Write {
-            key: LEADER_KEY.to_owned(),
-            value: None,
-        },
-        Write {
-            key: node_key.clone(),
-            value: serde_json::to_string(&records::NodeRecord { life }).ok(),
-        },
-    ];
-    let when = [(TERM_KEY.to_owned(), rev), (node_key, node_rev)];
     let done = node
         .store
         .txn(&when, &writes, None, Duration::from_secs(1))
@@ -209,59 +193,20 @@
         return false;
     };
     let opened = node.now();
-    let (when, writes, term, before) = {
+    let bid = {
         let i = node.lock();
-        let me = &node.settings.node;
-        let leader_rev = match &i.view.leader {
-            None => 0,
-            Some(l) if l.1.node == *me && l.1.life < i.life => l.0,
-            Some(_) => return false,
-        };
-        let (term_rev, old) = &i.view.term;
-        let term = old.term + 1;
-        let previous = (*term_rev > 0)
-            .then(|| (old.node.clone(), old.life))
-            .filter(|(name, life)| i.view.life(name) <= *life);
-        let wall = node.clock.wall();
-        let quiet = match previous {
-            Some(_) => old.quiet.max(wall.plus(bound(node))),
-            None => old.quiet,
-        };
-        let record = TermRecord {
-            term,
-            node: me.clone(),
-            life: i.life,
-            quiet,
-        };
-        let leader = LeaderRecord {
-            node: me.clone(),
-            life: i.life,
-            term,
-        };
-        let writes = [
-            Write {
-                key: TERM_KEY.to_owned(),
-                value: serde_json::to_string(&record).ok(),
-            },
-            Write {
-                key: LEADER_KEY.to_owned(),
-                value: serde_json::to_string(&leader).ok(),
-            },
-        ];
-        let when = [
-            (TERM_KEY.to_owned(), *term_rev),
-            (LEADER_KEY.to_owned(), leader_rev),
-        ];
-        (when, writes, term, (previous, old.quiet))
+        let (me, wall) = (&node.settings.node, node.clock.wall());
+        leadership::bid(&i.view, me, i.life, bound(node), wall)
     };
+    let Some(bid) = bid else {
+        node.store.drop_hold(hold).await;
+        return false;
+    };
+    let attached = Some((hold, LEADER_KEY));
+    let limit = Duration::from_secs(1);
     let done = node
         .store
-        .txn(
-            &when,
-            &writes,
-            Some((hold, LEADER_KEY)),
-            Duration::from_secs(1),
-        )
+        .txn(&bid.when, &bid.writes, attached, limit)
         .await;
     let Outcome::Done(rev) = done else {
         node.store.drop_hold(hold).await;
@@ -272,40 +217,26 @@
         node.store.drop_hold(hold).await;
         return false;
     }
-    begin(node, hold, term, rev, before, opened)
+    begin(node, hold, bid, rev, opened)
 }
 
 /// The office is ours: starts a leader on the records as they stand.
-fn begin(
-    node: &Arc<Node>,
-    hold: u64,
-    term: u64,
-    rev: u64,
-    before: (Option<(String, u64)>, Micros),
-    opened: Micros,
-) -> bool {
+fn begin(node: &Arc<Node>, hold: u64, bid: Bid, rev: u64, opened: Micros) -> bool {
     let (now, wall) = (node.now(), node.clock.wall());
     let mut i = node.lock();
-    if i.view.term.0 != rev {
-        return false;
-    }
     let Some(catalog) = i.catalog.clone() else {
         return false;
     };
-    let (previous, quiet) = before;
-    let previous = previous.filter(|(name, life)| i.view.life(name) <= *life);
-    // Clocks agree on the time of day within a bound.
-    let elders = quiet.plus(node.settings.clock_error.times(2.0)).since(wall);
-    let elders_silent_at = now.plus(elders);
-    let old_silent_at = match &previous {
-        Some(_) => elders_silent_at.max(now.plus(bound(node))),
-        None => elders_silent_at,
+    let term = bid.term;
+    let error = node.settings.clock_error;
+    let Some(silence) = bid.won(&i.view, rev, bound(node), error, now, wall) else {
+        return false;
     };
     let leader = Leader::new(
         node.settings.core(),
         &i.view,
         catalog,
-        old_silent_at,
+        silence.all_at,
         now,
         wall,
     );
@@ -314,8 +245,8 @@
     i.office.hold = Some(hold);
     i.office.epoch += 1;
     i.office.answers_until = opened.plus(bound(node));
-    i.office.previous = previous;
-    i.office.elders_silent_at = elders_silent_at;
+    i.office.previous = silence.previous;
+    i.office.elders_silent_at = silence.elders_at;
     i.office.deaf_since = None;
     drop(i);
     node.store.set_leading(true);
--- a/crates/saltpitch/src/node.rs
+++ b/crates/saltpitch/src/node.rs
@@ -275,18 +275,20 @@
 
     /// Reads everything anew.
     async fn relist(&self) -> bool {
-        let Some((items, rev)) = self.store.list().await else {
-            return false;
-        };
-        let mut i = self.lock();
         let mut view = View::default();
-        for item in items {
-            if let Some(v) = &item.value {
-                if let Err(e) = view.put(&item.key, v, item.rev) {
-                    tracing::error!("record {} is unreadable and was refused: {e}", item.key);
+        let take = |items: Vec<Item>| {
+            for item in items {
+                if let Some(v) = &item.value {
+                    if let Err(e) = view.put(&item.key, v, item.rev) {
+                        tracing::error!("record {} is unreadable and was refused: {e}", item.key);
+                    }
                 }
             }
-        }
+        };
+        let Some(rev) = self.store.list(take).await else {
+            return false;
+        };
+        let mut i = self.lock();
         // A list is read page by page: what changed meanwhile follows from the first page's
         // revision on.
         view.rev = rev;
@@ -643,6 +645,7 @@
 
 /// Follows the changes of our records with one watch at a time.
 async fn follow(node: Arc<Node>) {
+    let mut failures = 0;
     loop {
         if !node.lock().synced && !node.relist().await {
             node.pause(400).await;
@@ -659,6 +662,7 @@
         let from = node.lock().view.rev;
         match node.store.news(from, Duration::from_secs(8)).await {
             News::Items(items, rev) => {
+                failures = 0;
                 node.apply(from, items, rev);
                 // Each reopening counts against the store's rate.
                 tokio::time::sleep(node.store.pace(0.12)).await;
@@ -667,7 +671,15 @@
                 node.relist().await;
                 node.pause(200).await;
             }
-            News::Failed => node.pause(400).await,
+            News::Failed => {
+                node.pause(400).await;
+                failures += 1;
+                // After a long absence the changes may be too many for one answer: the records
+                // themselves come in pages.
+                if failures % 5 == 0 {
+                    node.relist().await;
+                }
+            }
         }
     }
 }
--- a/crates/saltpitch/src/settings.rs
+++ b/crates/saltpitch/src/settings.rs
@@ -12,6 +12,10 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+/// Keys of the log: about three minutes of it, a few megabytes in the store. All nodes of a site
+/// must agree on it.
+const LOG_RING: u64 = 2_048;
+
 #[derive(Clone, Debug)]
 pub struct Settings {
     pub node: String,
@@ -173,6 +177,7 @@
             txn_bytes: 56 * 1024,
             write_rate: self.store.write_rps * crate::store::leader_share(self.size),
             value_bytes: self.store.value_bytes,
+            log_ring: LOG_RING,
             teams: self.teams.clone(),
             objectives: self.objectives.clone(),
             guarantee_within: self.guarantee_within,
--- a/crates/saltpitch/src/store.rs
+++ b/crates/saltpitch/src/store.rs
@@ -122,9 +122,9 @@
         r
     }
 
-    /// All of our records, and the revision from which to follow their changes.
-    pub async fn list(&self) -> Option<(Vec<wire::Item>, u64)> {
-        let mut all = Vec::new();
+    /// All of our records, page by page as they come, since all of them at once may be more than this
+    /// node has memory for. Returns the revision from which to follow their changes.
+    pub async fn list(&self, mut take: impl FnMut(Vec<wire::Item>)) -> Option<u64> {
         let mut first = None;
         let mut after = String::new();
         loop {
@@ -148,9 +148,9 @@
                 after.clone_from(&last.key);
             }
             let empty = items.is_empty();
-            all.extend(items);
+            take(items);
             if !more || empty {
-                return Some((all, first.unwrap_or(rev)));
+                return Some(first.unwrap_or(rev));
             }
         }
     }
--- a/crates/saltpitch/tests/end_to_end.rs
+++ b/crates/saltpitch/tests/end_to_end.rs
@@ -251,6 +251,7 @@
             boots_at: now,
             gone: false,
             hung_until: Micros::ZERO,
+            deaf_until: Micros::ZERO,
             session: 1,
             seq: 0,
             token: 0,
