--- a/crates/saltpitch-core/src/cluster.rs
+++ b/crates/saltpitch-core/src/cluster.rs
@@ -324,6 +324,12 @@
             && !self.has_live_strays()
     }
 
+    /// How long it would take to have the largest of its images elsewhere.
+    pub fn image_worth(&self) -> Micros {
+        let largest = self.images.values().map(|i| i.0).max();
+        self.kind.fetch_time(largest.unwrap_or(0))
+    }
+
     pub fn has_image(&self, image: &str) -> bool {
         self.images.contains_key(image)
     }
--- a/crates/saltpitch-core/src/leader/capacity.rs
+++ b/crates/saltpitch-core/src/leader/capacity.rs
@@ -439,6 +439,12 @@
         there.saturating_sub(keep as u64)
     }
 
+    /// How long an empty machine is kept: what the policy says, and as long again as its images
+    /// would take to have elsewhere.
+    pub(super) fn keep(&self, m: &Machine) -> Micros {
+        self.fleet.groups[m.group].keep.plus(m.image_worth())
+    }
+
     fn return_idle(&mut self, now: Micros) {
         let mut back = Vec::new();
         let mut spare = self.beyond_warm(now);
@@ -448,7 +454,7 @@
                 continue;
             }
             let idle = now.since(m.idle_since);
-            let keep = self.fleet.groups[m.group].keep;
+            let keep = self.keep(m);
             let stale = match m.phase {
                 Phase::Up => m.condemned || idle > keep || now.since(m.wanted_at) > keep,
                 // Some never come up.
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -212,6 +212,8 @@
     aims: Vec<Aim>,
     /// Run time seen over the owner's estimate.
     ratio: f64,
+    /// Tasks of a job of this class, the later ones counting more.
+    mean_tasks: f64,
 }
 
 pub struct Leader {
@@ -471,6 +473,9 @@
         let no = self.next_job;
         self.next_job += 1;
         let class = self.class(&spec.class);
+        let c = &mut self.classes[class];
+        let weight = if c.mean_tasks > 0.0 { 0.03 } else { 1.0 };
+        c.mean_tasks += (f64::from(spec.tasks) - c.mean_tasks) * weight;
         let mut job = Job {
             class,
             team: self.quota.number(&spec.team),
@@ -605,6 +610,7 @@
             name: name.to_owned(),
             aims: aims.map(|o| o.aim).collect(),
             ratio: 1.0,
+            mean_tasks: 0.0,
         });
         self.classes.len() - 1
     }
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -18,6 +18,12 @@
 const AGEING: Micros = Micros::from_secs(60);
 /// A job of which nothing was placed for this long is the next of those not pressing.
 const STARVED: Micros = Micros::from_secs(140);
+/// The same for those that are not large for their class: once late, they are not pressing.
+const STARVED_SMALL: Micros = Micros::from_secs(300);
+/// Gangs are served in this order of the time left to them.
+const SLOT: Micros = Micros::from_secs(10);
+/// Gangs take their whole room at once, and come before everything of their team but production.
+const STARVED_GANG: Micros = Micros::from_secs(190);
 
 /// A job waiting for room, in the order in which jobs are served.
 #[derive(Clone, Copy, Debug)]
@@ -85,8 +91,15 @@
             // largest must not wait for ever behind small ones that keep coming. So the wait since
             // a job was served last makes it smaller, and in the end it is the first of its rank.
             let left = j.idle.len() as u64 * self.estimate(j).0 / 1_000 * j.spec.need.cpu;
-            let left = if self.aged(j, now) || starved {
+            let left = if starved {
                 0
+            } else if j.spec.kind == Kind::Gang {
+                // Gangs by the time left for their next aim that can still be kept: one that has
+                // missed the first is not served before those that have not.
+                let slack = due.map_or(u64::MAX >> 1, |d| d.since(now).0 / SLOT.0);
+                slack
+                    .saturating_mul(1_000)
+                    .saturating_add(u64::from(j.spec.tasks).min(999))
             } else {
                 let waited = now.since(j.served_at.max(j.submitted)).0 / AGEING.0;
                 left >> waited.min(63)
@@ -109,7 +122,14 @@
     /// Nothing of this job was placed for long, although something is left of it: late or large, its
     /// turn has come. The wait is the same for all, so that nobody's is without bound.
     fn starved(&self, job: &Job, now: Micros) -> bool {
-        !job.idle.is_empty() && now.since(job.served_at.max(job.submitted)) > STARVED
+        let mean = self.classes.get(job.class).map_or(0.0, |c| c.mean_tasks);
+        let large = f64::from(job.spec.tasks) > mean * 1.5;
+        let limit = match job.spec.kind {
+            _ if !large => STARVED_SMALL,
+            Kind::Gang => STARVED_GANG,
+            _ => STARVED,
+        };
+        !job.idle.is_empty() && now.since(job.served_at.max(job.submitted)) > limit
     }
 
     /// The latest start that keeps the next aim that can still be kept. None: every aim for this
@@ -152,8 +172,7 @@
         if !self.contested_for(spec, &m.kind.size) {
             return true;
         }
-        let keep = self.fleet.groups[m.group].keep;
-        spec.kind == Kind::Array && spec.saves() && now.since(m.wanted_at) < keep
+        spec.kind == Kind::Array && spec.saves() && now.since(m.wanted_at) < self.keep(m)
     }
 
     pub(super) fn schedule(&mut self, now: Micros) {
--- a/crates/saltpitch-core/tests/directed.rs
+++ b/crates/saltpitch-core/tests/directed.rs
@@ -132,6 +132,10 @@
 
 impl Desk {
     fn new(build: impl FnOnce(&mut View), old_silent_at: Micros) -> Desk {
+        Desk::with(config(), build, old_silent_at)
+    }
+
+    fn with(cfg: Config, build: impl FnOnce(&mut View), old_silent_at: Micros) -> Desk {
         let mut view = View::default();
         let term = TermRecord {
             term: 5,
@@ -143,7 +147,7 @@
         build(&mut view);
         view.rev = 10;
         let now = secs(1_000);
-        let leader = Leader::new(config(), &view, catalog(), old_silent_at, now, now);
+        let leader = Leader::new(cfg, &view, catalog(), old_silent_at, now, now);
         Desk {
             view,
             leader,
@@ -482,3 +486,57 @@
     assert!(d.writes <= 4, "{} writes", d.writes);
     assert!((1..=200).contains(&d.rented), "{} rented", d.rented);
 }
+
+/// A site of `n` machines, all of them full, with 30 jobs waiting that fit nowhere.
+fn full_site(n: u64) -> Desk {
+    let mut cfg = config();
+    cfg.teams[0].cpu_max = 0;
+    let mut d = Desk::with(cfg, |_| {}, secs(0));
+    for m in 0..n {
+        d.report(&format!("vm-{m:05}"), "east", 1, &[]);
+    }
+    d.submit("job-0", spec(Kind::Array, n as u32, 8));
+    d.pass(secs(1));
+    for m in 0..n {
+        let orders = d.report(&format!("vm-{m:05}"), "east", 2, &[]);
+        let [Order::Start { task, .. }] = orders[..] else {
+            panic!("every machine is taken: {orders:?}");
+        };
+        let mut runs = seen("job-0", TaskState::Running);
+        runs.task = task;
+        d.report(&format!("vm-{m:05}"), "east", 3, &[runs]);
+    }
+    for j in 1..31 {
+        d.submit(&format!("job-{j}"), spec(Kind::Array, 4, 4));
+    }
+    d.pass(secs(1));
+    d
+}
+
+/// What one report, and half a second of loops, cost in machines and jobs looked at.
+fn costs(n: u64) -> (u64, u64) {
+    let mut d = full_site(n);
+    let before = d.leader.steps();
+    d.report("vm-00000", "east", 4, &[]);
+    let report = d.leader.steps() - before;
+    let before = d.leader.steps();
+    d.pass(Micros::from_millis(500));
+    (report, d.leader.steps() - before)
+}
+
+/// Neither a report nor a pass or a tick looks at the whole site.
+#[test]
+fn a_report_and_a_pass_cost_the_same_at_any_size() {
+    let (small, large) = (costs(40), costs(1_200));
+    assert!(small.0 > 0 && small.1 > 0, "the steps are counted");
+    assert_eq!(small.0, large.0, "a report");
+    assert!(large.1 <= small.1 + 60, "loops: {small:?}, then {large:?}");
+}
+
+/// Changes are scarce: machines share records, and so do the placements of all jobs.
+#[test]
+fn machines_and_placements_share_changes() {
+    let small = full_site(40).writes;
+    let large = full_site(1_200).writes;
+    assert!(large <= small + 1_200 / 20, "{small} changes, then {large}");
+}
--- a/crates/saltpitch-testkit/src/world.rs
+++ b/crates/saltpitch-testkit/src/world.rs
@@ -460,10 +460,12 @@
             if self.deaf(n) {
                 self.resign(n, reaches);
             }
-        } else if reaches && self.nodes[n].announced && now >= self.nodes[n].shy_until {
-            if self.rng.random_bool(0.3) {
-                self.elect(n);
-            }
+        } else if reaches
+            && self.nodes[n].announced
+            && now >= self.nodes[n].shy_until
+            && self.rng.random_bool(0.3)
+        {
+            self.elect(n);
         }
         self.poll(n);
         if self.nodes[n].leader.is_some() && now.0 % 3_000_000 < TICK.0 {
--- a/crates/saltpitch/tests/end_to_end.rs
+++ b/crates/saltpitch/tests/end_to_end.rs
@@ -32,6 +32,8 @@
     specs: HashMap<String, JobSpec>,
     nodes: Vec<SocketAddr>,
     names: Vec<String>,
+    /// The node that the store refuses, as it serves the others.
+    refused: Option<usize>,
 }
 
 type Shared = Arc<Mutex<Site>>;
@@ -598,7 +600,7 @@
 async fn the_program_serves_users_and_survives_its_leader() {
     let api = [free_addr(), free_addr()];
     let peer = [free_addr(), free_addr()];
-    let ext = [free_addr(), free_addr()];
+    let (cloud_addr, store) = (free_addr(), [free_addr(), free_addr()]);
     let site: Shared = Arc::new(Mutex::new(Site {
         started: Instant::now(),
         store: Store::default(),
@@ -607,20 +609,38 @@
         specs: HashMap::new(),
         nodes: api.to_vec(),
         names: vec!["n0".to_owned(), "n1".to_owned()],
+        refused: None,
     }));
     let cloud = site.clone();
-    serve(ext[0], move |m, u, b| cloud_call(cloud.clone(), m, u, b));
-    let store = site.clone();
-    serve(ext[1], move |m, u, b| store_call(store.clone(), m, u, b));
+    serve(cloud_addr, move |m, u, b| {
+        cloud_call(cloud.clone(), m, u, b)
+    });
+    for (n, addr) in store.into_iter().enumerate() {
+        let site = site.clone();
+        serve(addr, move |m, u, b| {
+            let site = site.clone();
+            async move {
+                let refused = site.lock().expect("lock").refused == Some(n);
+                match refused {
+                    true => (503, json!({"error": "trouble"})),
+                    false => store_call(site, m, u, b).await,
+                }
+            }
+        });
+    }
     let dir = std::env::temp_dir().join(format!("saltpitch-{}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("a folder");
     let mut nodes = Nodes {
         children: Vec::new(),
         files: Vec::new(),
     };
-    for n in 0..2 {
+    for (n, store) in store.into_iter().enumerate() {
         let file = dir.join(format!("n{n}.json"));
-        std::fs::write(&file, settings(n, &api, &peer, ext).to_string()).expect("settings");
+        std::fs::write(
+            &file,
+            settings(n, &api, &peer, [cloud_addr, store]).to_string(),
+        )
+        .expect("settings");
         nodes.files.push(file);
         nodes.start(n);
     }
@@ -684,6 +704,24 @@
     until(api[dead], Method::GET, "/up", None, |r| r.0 == 200).await;
     wait_for(api[dead], "job-000002", "done").await;
 
+    // The store refuses one node alone: its users are served through the other, whoever leads.
+    for n in [dead, alive] {
+        site.lock().expect("lock").refused = Some(n);
+        let id = format!("job-00001{n}");
+        submit(&site, api[n], &id, Kind::Array, 2).await;
+        wait_for(api[n], &id, "done").await;
+        wait_for(api[n], "job-000003", "running").await;
+        let path = "/v2/runs/job-000099";
+        until(api[n], Method::GET, path, None, |r| r.0 == 404).await;
+        let up = call(api[n], Method::GET, "/up", None).await;
+        assert_eq!(
+            up.expect("an answer").0,
+            200,
+            "served through a peer is served"
+        );
+    }
+    site.lock().expect("lock").refused = None;
+
     // A cancelled service leaves its machines, and is cancelled for every node.
     let path = "/v2/runs/job-000003/abort";
     let r = until(api[dead], Method::POST, path, None, |r| r.0 == 200).await;
