--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -659,6 +659,11 @@
     /// The protocol's terms: higher priority over lower; a guarantee over what another team runs
     /// beyond its own.
     fn may_stop(&self, w: Waiting, spec: &JobSpec, other: &Job) -> bool {
+        // What borrows a machine with accelerators makes way for work that needs them, wherever it
+        // stands in the order: it can't take that room back.
+        if spec.need.gpu > 0 && other.spec.need.gpu == 0 && other.spec.priority < spec.priority {
+            return true;
+        }
         // Only what is served later anyway: otherwise two jobs could stop each other in turn.
         let rank = |no: JobNo| self.ranks.get(&no).copied().unwrap_or(u8::MAX);
         let other_no = self.by_id.get(&other.id).copied().unwrap_or(0);
