A service's room is made near its image for half of its time to start, not once

Cause, from the grown parking site: a replica on a machine without its image fetches for 9 s against an aim of 5 s, and room near it was made only once, for 0.7 s. Now it is looked for again in that time.

--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -12,6 +12,9 @@
 use crate::preemption::{choose, loss, Victim};
 use crate::time::Micros;
 
+/// How long after its submission a service's room is made where its image is, at most; half
+/// of the time in which it should start.
+const NEAR: Micros = Micros::from_millis(2_500);
 /// How long a gang waits for machines that have its image, in times of fetching it.
 const PATIENCE: f64 = 0.6;
 /// For each of these that a job has waited, it counts as half as large.
@@ -247,8 +250,17 @@
         let Some(job) = self.jobs.get(&w.no) else {
             return false;
         };
+        // Looked for again while there is hope: a fetch takes longer than that.
         if let Some(until) = job.room_by {
-            return now < until;
+            let aims = self.classes.get(job.class).map_or(&[][..], |c| &c.aims);
+            let start = aims.iter().filter_map(|a| match a {
+                Aim::Wait(w) => Some(w.times(0.5)),
+                _ => None,
+            });
+            let hope = start.min().unwrap_or(NEAR).min(NEAR);
+            if now < until || now.since(job.submitted) > hope {
+                return now < until;
+            }
         }
         let spec = job.spec.clone();
         let idle = job.idle.len() as u64;
