--- a/crates/saltpitch-core/src/leader/capacity.rs
+++ b/crates/saltpitch-core/src/leader/capacity.rs
@@ -440,10 +440,12 @@
         there.saturating_sub(keep as u64)
     }
 
-    /// How long an empty machine is kept: what the policy says, and as long again as its images
-    /// would take to have elsewhere.
-    pub(super) fn keep(&self, m: &Machine) -> Micros {
-        self.fleet.groups[m.group].keep.plus(m.image_worth())
+    /// How long an empty machine is kept: what the policy says; and while work with accelerators
+    /// keeps coming, a machine for it as long again as its images would take to have elsewhere.
+    pub(super) fn keep(&self, m: &Machine, now: Micros) -> Micros {
+        let keep = self.fleet.groups[m.group].keep;
+        let comes = m.kind.size.gpu > 0 && now.since(self.gpu_asked) < keep;
+        keep.plus(if comes { m.image_worth() } else { Micros::ZERO })
     }
 
     fn return_idle(&mut self, now: Micros) {
@@ -455,7 +457,7 @@
                 continue;
             }
             let idle = now.since(m.idle_since);
-            let keep = self.keep(m);
+            let keep = self.keep(m, now);
             let stale = match m.phase {
                 Phase::Up => m.condemned || idle > keep || now.since(m.wanted_at) > keep,
                 // Some never come up.
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -290,6 +290,8 @@
     drain: Micros,
     /// What tasks with accelerators need.
     gpu_needs: HashSet<Res>,
+    /// When such work was last submitted.
+    gpu_asked: Micros,
     /// Batch work that is placed, in processor-seconds of its estimates.
     batch_placed: f64,
     /// Machines and jobs looked at: what a pass costs, for tests.
@@ -368,6 +370,7 @@
             refusals: HashMap::new(),
             drain: Micros::from_secs(90),
             gpu_needs: HashSet::new(),
+            gpu_asked: Micros::ZERO,
             batch_placed: 0.0,
             steps: 0,
             ranks: HashMap::new(),
@@ -523,6 +526,7 @@
         }
         if job.spec.need.gpu > 0 {
             self.gpu_needs.insert(job.spec.need);
+            self.gpu_asked = self.gpu_asked.max(job.submitted);
         }
         if job.active() && now.since(job.submitted) < FADE {
             self.note_demand(&job.spec, now);
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -175,7 +175,7 @@
         if !self.contested_for(spec, &m.kind.size) {
             return true;
         }
-        spec.kind == Kind::Array && spec.saves() && now.since(m.wanted_at) < self.keep(m)
+        spec.kind == Kind::Array && spec.saves() && now.since(m.wanted_at) < self.keep(m, now)
     }
 
     pub(super) fn schedule(&mut self, now: Micros) {
