--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -12,8 +12,8 @@
 use crate::preemption::{choose, loss, Victim};
 use crate::time::Micros;
 
-/// How long after its submission a service's room is made where its image is, at most; half
-/// of the time in which it should start.
+/// How long after its submission a service's room is made where its image is, at most; half of the
+/// time in which it should start, and no longer than a fetch could still be in time.
 const NEAR: Micros = Micros::from_millis(2_500);
 /// How long a gang waits for machines that have its image, in times of fetching it.
 const PATIENCE: f64 = 0.6;
@@ -253,7 +253,14 @@
         // Looked for again while there is hope: a fetch takes longer than that.
         if let Some(until) = job.room_by {
             let aims = self.classes.get(job.class).map_or(&[][..], |c| &c.aims);
+            // Where a fetch would be in time, there is no more to hope for than that.
+            let fetch = (self.catalog.types.iter())
+                .filter(|t| job.spec.need.fits(&t.size) && !self.contested_for(&job.spec, &t.size))
+                .map(|t| t.fetch_time(job.spec.image_mb).times(1.3))
+                .min()
+                .unwrap_or_default();
             let start = aims.iter().filter_map(|a| match a {
+                Aim::Wait(w) if fetch < *w => Some(w.since(fetch).since(Micros::from_secs(1))),
                 Aim::Wait(w) => Some(w.times(0.5)),
                 _ => None,
             });
