The cloud's list is read to its end at any length, beside the budget of rentals

Cause: pages of 200 drew on the same budget as rentals and returns, which holds a second of the cloud's rate, and a list without budget for its next page was thrown away whole.

--- a/crates/saltpitch/src/budget.rs
+++ b/crates/saltpitch/src/budget.rs
@@ -2,10 +2,11 @@
 
 use saltpitch_core::Micros;
 
-/// A bucket that fills at `rate` a second and holds a second's worth.
+/// A bucket that fills at `rate` a second and holds a second's worth, or what else is said.
 #[derive(Clone, Debug)]
 pub struct Budget {
     rate: f64,
+    burst: Option<f64>,
     level: f64,
     at: Micros,
 }
@@ -14,18 +15,28 @@
     pub fn new(rate: f64) -> Budget {
         Budget {
             rate,
+            burst: None,
             level: rate.max(1.0),
             at: Micros::ZERO,
         }
     }
 
+    /// Holds `burst` at the most.
+    pub fn with_burst(rate: f64, burst: f64) -> Budget {
+        Budget {
+            burst: Some(burst),
+            level: burst.max(1.0),
+            ..Budget::new(rate)
+        }
+    }
+
     /// Changes the rate: a leader may use more than the others.
     pub fn set_rate(&mut self, rate: f64) {
         self.rate = rate;
     }
 
     pub fn take(&mut self, n: f64, now: Micros) -> bool {
-        let cap = self.rate.max(1.0).max(n);
+        let cap = self.burst.unwrap_or(self.rate).max(1.0).max(n);
         self.level = (self.level + now.since(self.at).as_secs_f64() * self.rate).min(cap);
         self.at = now;
         if self.level >= n {
--- a/crates/saltpitch/src/lead.rs
+++ b/crates/saltpitch/src/lead.rs
@@ -7,7 +7,7 @@
 use hyper::Method;
 use rand::Rng;
 use saltpitch_core::cluster::Order;
-use saltpitch_core::leader::{Effect, Leader, Ordered, Outcome, Write};
+use saltpitch_core::leader::{Effect, Leader, ListedMachine, Ordered, Outcome, Write};
 use saltpitch_core::leadership::{self, answer_bound, election_delay, Bid, Hearing, HOLD};
 use saltpitch_core::records::{TermRecord, LEADER_KEY, TERM_KEY};
 use saltpitch_core::Micros;
@@ -486,16 +486,17 @@
             i.office.leader.as_ref().map(|_| i.office.epoch)
         };
         if let Some(epoch) = epoch {
-            if let Some(list) = node.cloud.list().await {
+            let take = |page: &[ListedMachine]| {
                 let now = node.now();
                 let mut guard = node.lock();
                 let i: &mut Inner = &mut guard;
                 if i.office.epoch == epoch {
                     if let Some(l) = i.office.leader.as_mut() {
-                        l.listed(&list, &|n| i.view.gone.contains(n), now);
+                        l.listed(page, &|n| i.view.gone.contains(n), now);
                     }
                 }
-            }
+            };
+            node.cloud.list(take).await;
             // The list lags anyway: to read it more often than that shows nothing new.
             node.pause(node.settings.list_lag.0 / 2_000).await;
         } else {
