Rentals go by turns within the cloud's rate; what was not asked for yet is planned anew

Cause: every plan sent all of its requests at once; those beyond the rate came back as put off for 2 s, whichever they were. Now the core asks within the rate: a type, zone and kind asked for lately waits for the others' turns, production gets three calls a turn, and requests that were not sent are planned anew each time instead of being kept.

Test: with work for dozens of calls of one type, another type's is among the first, and no more are made than the rate allows.

--- a/crates/saltpitch-core/src/leader/capacity.rs
+++ b/crates/saltpitch-core/src/leader/capacity.rs
@@ -7,7 +7,7 @@
 use crate::catalog::{MachineType, Res};
 use crate::cluster::{JobNo, Machine, Phase};
 use crate::gang::Gang;
-use crate::job::Kind;
+use crate::job::{Kind, Priority};
 use crate::time::Micros;
 
 /// The most tasks of one job that are planned for at a time: a job of 100,000 tasks must not hold
@@ -30,6 +30,8 @@
     pub spot: bool,
     pub count: u32,
     pub out: bool,
+    /// The cloud may have had it: from then on it is repeated as it is until it is answered.
+    pub sent: bool,
     pub after: Micros,
 }
 
@@ -53,8 +55,12 @@
     /// What is still free on each; those before `first` are full.
     bins: Vec<Res>,
     first: usize,
-    /// How many of the bins are to be rented now.
+    /// How many of the bins are to be rented now, and the place in the order of service of the first
+    /// job that wants one.
     new: u32,
+    wanted_by: usize,
+    /// Production wants some of them.
+    production: bool,
     refused: bool,
 }
 
@@ -64,6 +70,10 @@
 const MAX_RENTS: u32 = 4;
 /// Room kept warm, as a part of what is expected: arrivals come in clusters.
 const WARM: f64 = 1.5;
+/// A type, zone and kind that was asked for within this time waits for others' turns.
+const RUSH: Micros = Micros::from_secs(10);
+/// Calls that production's machines get in one turn, where others get one.
+const PRODUCTION_CALLS: u32 = 3;
 /// The most machines of one rental.
 const RENTAL: u32 = 50;
 
@@ -105,6 +115,8 @@
     /// Machines that cost more than this many times the cheapest are for pressing work only.
     dear: f64,
     slack: Option<Micros>,
+    /// The job's place in the order of service.
+    at: usize,
 }
 
 impl Terms {
@@ -145,6 +157,8 @@
 impl Leader {
     /// Rents what the waiting tasks need beyond what is on its way; returns what stands idle.
     pub(super) fn plan_capacity(&mut self, now: Micros) {
+        // What was planned and not asked for yet is planned anew.
+        self.rents.retain(|r| r.sent);
         let mut pools = self.pools(now);
         let room: u64 = (self.fleet.groups.iter())
             .filter(|g| !crate::placement::contested(&g.kind.size, &self.gpu_needs))
@@ -153,7 +167,7 @@
         // What is running has half of its time left on average.
         let mut work = (self.batch_placed.max(0.0) / 2.0) as u64 * 1_000;
         let mut claimed: Vec<Res> = (0..self.quota.len()).map(|t| self.quota.used(t)).collect();
-        for w in self.waiting(now) {
+        for (at, w) in self.waiting(now).into_iter().enumerate() {
             let Some(job) = self.jobs.get(&w.no) else {
                 continue;
             };
@@ -190,12 +204,13 @@
                     f64::INFINITY
                 },
                 slack: w.slack,
+                at,
             };
             self.reserve(w.no, &terms, want.min(MAX_RESERVED), &mut pools);
         }
         self.rent(&pools, now);
         self.return_idle(now);
-        self.repeat_rents(now);
+        self.ask_for_rents(now);
     }
 
     /// Every type, zone and kind on offer, with the machines that are booting or being rented as
@@ -214,6 +229,8 @@
                         bins: Vec::new(),
                         first: 0,
                         new: 0,
+                        wanted_by: usize::MAX,
+                        production: false,
                         refused: self.refusals.get(&key).is_some_and(|r| r.until > now),
                     });
                 }
@@ -322,45 +339,75 @@
                 .min(zones.room(&p.zone));
             p.bins.push(p.kind.size.minus(&spec.need.times(n)));
             p.new += 1;
+            p.wanted_by = p.wanted_by.min(terms.at);
+            p.production |= spec.priority == Priority::Production;
             zones.add(&p.zone, n);
             left -= n;
         }
     }
 
+    /// Plans the requests for the pools' new machines, by turns: calls are scarce, and a rush that
+    /// takes dozens of them for one type must not keep others waiting for theirs. Production gets
+    /// more calls than others in a turn.
     fn rent(&mut self, pools: &[Pool], now: Micros) {
-        for p in pools {
-            let mut count = p.new.min(RENTAL * MAX_RENTS);
-            while count > 0 {
-                // A request's name is never used again: the term is this leader's alone.
-                let request = format!("t{}-{}", self.term, self.next_request);
-                self.next_request += 1;
-                let part = count.min(RENTAL);
-                count -= part;
-                self.rents.push(Renting {
-                    request,
-                    type_name: p.kind.name.clone(),
-                    zone: p.zone.to_string(),
-                    spot: p.spot,
-                    count: part,
-                    out: false,
-                    after: now,
-                });
+        let mut planned = Vec::new();
+        for p in pools.iter().filter(|p| p.new > 0) {
+            let key = (p.kind.name.clone(), p.zone.to_string(), p.spot);
+            let lately = self.rents_asked.get(&key).filter(|a| now.since(a.1) < RUSH);
+            let before = lately.map_or(0, |a| a.0);
+            let weight = if p.production { PRODUCTION_CALLS } else { 1 };
+            for call in 0..p.new.div_ceil(RENTAL).min(MAX_RENTS) {
+                let count = (p.new - call * RENTAL).min(RENTAL);
+                planned.push((((before + call) / weight, p.wanted_by), count, p));
             }
         }
+        planned.sort_by_key(|x| x.0);
+        for (_, count, p) in planned {
+            // A request's name is never used again: the term is this leader's alone.
+            let request = format!("t{}-{}", self.term, self.next_request);
+            self.next_request += 1;
+            self.rents.push(Renting {
+                request,
+                type_name: p.kind.name.clone(),
+                zone: p.zone.to_string(),
+                spot: p.spot,
+                count,
+                out: false,
+                sent: false,
+                after: now,
+            });
+        }
     }
 
-    fn repeat_rents(&mut self, now: Micros) {
+    /// Asks for what was planned, as far as the cloud's rate goes.
+    fn ask_for_rents(&mut self, now: Micros) {
+        let mut calls = self.rent_pace.level(self.cfg.rent_rate * 2.0, now);
         for r in &mut self.rents {
-            if !r.out && now >= r.after {
-                r.out = true;
-                self.effects.push(Effect::Rent {
-                    request: r.request.clone(),
-                    type_name: r.type_name.clone(),
-                    zone: r.zone.clone(),
-                    spot: r.spot,
-                    count: r.count,
-                });
+            if r.out || now < r.after {
+                continue;
+            }
+            if calls < 1.0 {
+                return;
             }
+            calls -= 1.0;
+            self.rent_pace.spend(1.0);
+            r.out = true;
+            r.sent = true;
+            let key = (r.type_name.clone(), r.zone.clone(), r.spot);
+            let asked = self.rents_asked.entry(key).or_default();
+            let before = if now.since(asked.1) < RUSH {
+                asked.0
+            } else {
+                0
+            };
+            *asked = (before + 1, now);
+            self.effects.push(Effect::Rent {
+                request: r.request.clone(),
+                type_name: r.type_name.clone(),
+                zone: r.zone.clone(),
+                spot: r.spot,
+                count: r.count,
+            });
         }
     }
 
--- a/crates/saltpitch-core/src/leader/commit.rs
+++ b/crates/saltpitch-core/src/leader/commit.rs
@@ -242,7 +242,7 @@
     name.len() + addr.len() + 40
 }
 
-/// The store's rate of changes, as far as the leader may use it.
+/// The store's rate of changes, or the cloud's of rentals, as far as the leader may use it.
 pub(super) struct Pace {
     rate: f64,
     level: f64,
@@ -258,13 +258,18 @@
         }
     }
 
-    fn level(&mut self, ops: usize, now: Micros) -> f64 {
-        let cap = (self.rate * 0.5).max(ops as f64);
+    /// How many changes may be made now; `burst`: the most that may be made at once.
+    pub fn level(&mut self, burst: f64, now: Micros) -> f64 {
+        let cap = (self.rate * 0.5).max(burst);
         self.level = (self.level + now.since(self.at).as_secs_f64() * self.rate).min(cap);
         self.at = now;
         self.level
     }
 
+    pub fn spend(&mut self, n: f64) {
+        self.level -= n;
+    }
+
     /// When `n` more changes may be written.
     fn ready(&self, n: f64) -> Micros {
         let wait = ((n - self.level) / self.rate).max(0.0);
@@ -354,7 +359,7 @@
             self.effects.push(Effect::Refresh);
             return;
         }
-        let level = self.pace.level(self.cfg.txn_ops, now);
+        let level = self.pace.level(self.cfg.txn_ops as f64, now);
         let ops = self.cfg.txn_ops.min(level as usize);
         // Changes gather while they are scarce; what is urgent does not wait for others.
         let least = if self.dirty.urgent(now) {
@@ -393,7 +398,7 @@
             self.next_txn = self.pace.ready(level + 1.0);
             return;
         }
-        self.pace.level -= b.writes.len() as f64;
+        self.pace.spend(b.writes.len() as f64);
         self.txn = Some(p);
         self.effects.push(Effect::Txn {
             when: b.when,
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -38,6 +38,8 @@
     /// Changes a second that a leader may write, and the most bytes of one value.
     pub write_rate: f64,
     pub value_bytes: usize,
+    /// Rentals a second that a leader may ask the cloud for; twice as many at once.
+    pub rent_rate: f64,
     /// Keys that the log's segments go round in: at ten segments a second, most batch jobs should
     /// be over before what was said of them has to be said again in a checkpoint.
     pub log_ring: u64,
@@ -284,6 +286,9 @@
     raise_out: bool,
     // Renting.
     rents: Vec<capacity::Renting>,
+    rent_pace: commit::Pace,
+    /// How often each type, zone and kind was asked for in this rush, and when last.
+    rents_asked: HashMap<(String, String, bool), (u32, Micros)>,
     next_request: u64,
     refusals: HashMap<(String, String, bool), Refusal>,
     /// How soon batch work is to be under way, by the policy.
@@ -318,6 +323,7 @@
         now: Micros,
         wall: Micros,
     ) -> Leader {
+        let rent_pace = commit::Pace::new(cfg.rent_rate, now);
         let mut l = Leader {
             quota: Quota::new(cfg.teams.clone()),
             pace: commit::Pace::new(cfg.write_rate, now),
@@ -366,6 +372,8 @@
             effects: Vec::new(),
             raise_out: false,
             rents: Vec::new(),
+            rent_pace,
+            rents_asked: HashMap::new(),
             next_request: 1,
             refusals: HashMap::new(),
             drain: Micros::from_secs(90),
--- a/crates/saltpitch-core/tests/directed.rs
+++ b/crates/saltpitch-core/tests/directed.rs
@@ -31,6 +31,7 @@
         txn_bytes: 50_000,
         write_rate: 60.0,
         value_bytes: 8 * 1024,
+        rent_rate: 5.0,
         log_ring: 16,
         teams: ["red", "blue"]
             .iter()
@@ -128,6 +129,8 @@
     returns: BTreeSet<String>,
     writes: usize,
     rented: u32,
+    /// The types that the cloud was asked for, request by request.
+    asked: Vec<String>,
 }
 
 impl Desk {
@@ -136,6 +139,15 @@
     }
 
     fn with(cfg: Config, build: impl FnOnce(&mut View), old_silent_at: Micros) -> Desk {
+        Desk::of(cfg, catalog(), build, old_silent_at)
+    }
+
+    fn of(
+        cfg: Config,
+        catalog: Arc<Catalog>,
+        build: impl FnOnce(&mut View),
+        old_silent_at: Micros,
+    ) -> Desk {
         let mut view = View::default();
         let term = TermRecord {
             term: 5,
@@ -147,7 +159,7 @@
         build(&mut view);
         view.rev = 10;
         let now = secs(1_000);
-        let leader = Leader::new(cfg, &view, catalog(), old_silent_at, now, now);
+        let leader = Leader::new(cfg, &view, catalog, old_silent_at, now, now);
         Desk {
             view,
             leader,
@@ -157,6 +169,7 @@
             returns: BTreeSet::new(),
             writes: 0,
             rented: 0,
+            asked: Vec::new(),
         }
     }
 
@@ -196,7 +209,12 @@
                         self.leader
                             .ordered(&machine, session, token, starts, end, self.now);
                     }
-                    Effect::Rent { count, .. } => self.rented += count,
+                    Effect::Rent {
+                        count, type_name, ..
+                    } => {
+                        self.rented += count;
+                        self.asked.push(type_name);
+                    }
                     Effect::Return { names } => {
                         self.returns.extend(names.iter().map(|n| n.to_string()));
                     }
@@ -605,3 +623,37 @@
         d.leader.summary()
     );
 }
+
+/// Calls to the cloud are scarce. A rush that takes dozens of them for one type must not use them up
+/// before another type is asked for, and no more are asked for than the rate allows.
+#[test]
+fn rentals_go_by_turns_within_the_clouds_rate() {
+    let mut types = catalog().types.clone();
+    types.push(MachineType {
+        name: "accel".to_owned(),
+        size: Res {
+            gpu: 2_000,
+            ..types[0].size
+        },
+        ..types[0].clone()
+    });
+    let mut cfg = config();
+    for t in &mut cfg.teams {
+        (t.cpu_max, t.gpu_max) = (0, 0);
+    }
+    cfg.rent_rate = 4.0;
+    let types = Arc::new(Catalog { types });
+    let mut d = Desk::of(cfg, types, |_| {}, secs(0));
+    for j in 0..20 {
+        let mut web = spec(Kind::Service, 50, 8);
+        (web.priority, web.spot) = (Priority::Production, false);
+        d.submit(&format!("job-{j}"), web);
+    }
+    let mut gang = spec(Kind::Gang, 2, 8);
+    (gang.priority, gang.need.gpu) = (Priority::High, 2_000);
+    d.submit("job-100", gang);
+    d.pass(secs(2));
+    assert!(d.asked.len() <= 2 + 2 * 4, "{:?}", d.asked);
+    let accel = d.asked.iter().position(|t| t == "accel");
+    assert!(accel.is_some_and(|at| at <= 6), "{:?}", d.asked);
+}
--- a/crates/saltpitch-testkit/src/world.rs
+++ b/crates/saltpitch-testkit/src/world.rs
@@ -148,6 +148,7 @@
         txn_bytes: 50_000,
         write_rate: 60.0,
         value_bytes: 8 * 1024,
+        rent_rate: 5.0,
         log_ring: 16,
         teams: teams.to_vec(),
         objectives: vec![Objective {
--- a/crates/saltpitch/src/cloud.rs
+++ b/crates/saltpitch/src/cloud.rs
@@ -25,8 +25,10 @@
 const PAGE: usize = 500;
 /// The list's part of the cloud's rate, and that of everything else. A little is left for the other
 /// controllers, who read the catalogue when they start.
-const LIST_PART: f64 = 0.2;
-const CALLS_PART: f64 = 0.7;
+const LIST_PART: f64 = 0.15;
+const CALLS_PART: f64 = 0.8;
+/// Of that, what the leader's core asks for in rentals; the rest is for returns.
+pub const RENT_PART: f64 = 0.65;
 /// Calls that may come at once, in seconds of the cloud's rate: it allows two.
 const BURST: f64 = 1.5;
 
--- a/crates/saltpitch/src/settings.rs
+++ b/crates/saltpitch/src/settings.rs
@@ -177,6 +177,7 @@
             txn_bytes: 56 * 1024,
             write_rate: self.store.write_rps * crate::store::leader_share(self.size),
             value_bytes: self.store.value_bytes,
+            rent_rate: self.cloud_rps * crate::cloud::RENT_PART,
             log_ring: LOG_RING,
             teams: self.teams.clone(),
             objectives: self.objectives.clone(),
