Quiet workers' connections give way; nobody waits where the kernel counts sockets

A full node stopped accepting, so that the kernel's queue (1,024) came on top of 1,750 accepted and some 300 kept connections; and connections of machines that had died or were returned kept their places for 300 s.

Now whoever comes is accepted; the workers' connections that have been quiet for longest give way (others only after a minute), and what is still too much is closed at once. The queue is bounded by the sockets, and kept connections to machines go by their last use instead of first come, first kept.

--- a/crates/saltpitch-core/tests/directed.rs
+++ b/crates/saltpitch-core/tests/directed.rs
@@ -393,7 +393,7 @@
     let mut d = Desk::new(|_| {}, secs(0));
     d.leader.open_zones.insert("east".to_owned());
     let said = |seq: u64, m: u64| Report {
-        spot: m % 2 == 0,
+        spot: m.is_multiple_of(2),
         ..report(&format!("vm-{m}"), "east", seq, &[])
     };
     d.submit("job-1", spec(Kind::Array, 40, 8));
--- a/crates/saltpitch/src/api.rs
+++ b/crates/saltpitch/src/api.rs
@@ -40,11 +40,14 @@
                 if method != Method::POST {
                     return refuse(StatusCode::METHOD_NOT_ALLOWED, "use POST");
                 }
+                if let Some(from) = req.remote_addr().as_socket_addr() {
+                    self.0.connections.is_worker(from);
+                }
                 match body(&mut req).await {
                     Ok(b) => {
                         let (status, body) = self.0.report(&b);
                         let mut r = raw(status, body);
-                        if self.0.crowded() {
+                        if self.0.connections.crowded() {
                             r.headers_mut()
                                 .insert("connection", HeaderValue::from_static("close"));
                         }
--- a/crates/saltpitch/src/cloud.rs
+++ b/crates/saltpitch/src/cloud.rs
@@ -192,7 +192,7 @@
         let acceptor = acceptor.expect("a free port");
         let addr = *acceptor.local_addr()[0].as_socket_addr().expect("TCP");
         tokio::spawn(Server::new_with_acceptor(acceptor).run(cloud));
-        let cloud = Cloud::new(Arc::new(Client::default()), addr, Clock::start(), 200.0);
+        let cloud = Cloud::new(Arc::new(Client::new(8)), addr, Clock::start(), 200.0);
         *cloud.budget.lock().expect("not poisoned") = Budget::new(0.0);
         let mut found = 0;
         cloud.list(|page| found += page.len()).await;
--- a/crates/saltpitch/src/http.rs
+++ b/crates/saltpitch/src/http.rs
@@ -1,7 +1,7 @@
 //! A small HTTP client: kept connections, a time limit for every call, and the difference between
 //! a request that was certainly not sent and one whose fate is unknown.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -16,8 +16,6 @@
 
 /// Idle connections kept per address.
 const KEPT: usize = 4;
-/// Addresses with kept connections; beyond that, connections are used once.
-const MAX_ADDRS: usize = 300;
 const CONNECT: Duration = Duration::from_millis(1_000);
 /// The largest answer taken: a watch's answer has no limit of its own, but this node's memory has.
 const MAX_ANSWER: usize = 6 * 1024 * 1024;
@@ -37,33 +35,57 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// Kept connections by address, the addresses in the order of their last use.
 #[derive(Default)]
+struct Idle {
+    by_addr: HashMap<SocketAddr, (u64, Vec<Sender>)>,
+    by_use: BTreeMap<u64, SocketAddr>,
+    uses: u64,
+}
+
 pub struct Client {
-    idle: Mutex<HashMap<SocketAddr, Vec<Sender>>>,
+    idle: Mutex<Idle>,
+    max_addrs: usize,
 }
 
 impl Client {
+    /// Keeps connections to about `max_addrs` addresses, those used last.
+    pub fn new(max_addrs: usize) -> Client {
+        Client {
+            idle: Mutex::default(),
+            max_addrs: max_addrs.max(4),
+        }
+    }
+
     fn take(&self, addr: SocketAddr) -> Option<Sender> {
         let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
-        let list = idle.get_mut(&addr)?;
+        let list = &mut idle.by_addr.get_mut(&addr)?.1;
         while let Some(s) = list.pop() {
             if s.is_ready() {
                 return Some(s);
             }
         }
-        idle.remove(&addr);
         None
     }
 
     fn put(&self, addr: SocketAddr, s: Sender) {
         let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
-        if idle.len() >= MAX_ADDRS && !idle.contains_key(&addr) {
-            return;
+        let idle = &mut *idle;
+        idle.uses += 1;
+        let entry = idle.by_addr.entry(addr).or_default();
+        idle.by_use.remove(&entry.0);
+        idle.by_use.insert(idle.uses, addr);
+        entry.0 = idle.uses;
+        entry.1.retain(|s| !s.is_closed());
+        if entry.1.len() < KEPT {
+            entry.1.push(s);
         }
-        let list = idle.entry(addr).or_default();
-        list.retain(|s| !s.is_closed());
-        if list.len() < KEPT {
-            list.push(s);
+        // Machines come and go: connections to those long gone must not take the others' places.
+        while idle.by_addr.len() > self.max_addrs {
+            let Some((_, oldest)) = idle.by_use.pop_first() else {
+                return;
+            };
+            idle.by_addr.remove(&oldest);
         }
     }
 
--- a/crates/saltpitch/src/node.rs
+++ b/crates/saltpitch/src/node.rs
@@ -1,12 +1,13 @@
 //! One controller: its copy of the records, what users ask of it, and what its peers say.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use poem::listener::{Listener, TcpListener as PoemListener};
+use poem::listener::TcpAcceptor;
 use poem::Server;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -17,10 +18,10 @@
 use saltpitch_core::records::{self, Change, JobRecord, NodeRecord, View};
 use saltpitch_core::Micros;
 use serde_json::Value;
-use tokio::sync::{watch, Notify, Semaphore};
+use tokio::sync::{watch, Notify};
 
 use crate::api::Api;
-use crate::bounded::Bounded;
+use crate::bounded::{Bounded, Connections};
 use crate::clock::Clock;
 use crate::cloud::Cloud;
 use crate::http::Client;
@@ -33,6 +34,13 @@
 /// A connection on which nothing moves for this long is closed.
 const STALLED: Duration = Duration::from_secs(300);
 
+/// How the sockets are shared out, in hundredths: connections accepted from users and workers, those
+/// that wait to be accepted, and kept ones to machines. The rest is for the store, the cloud, the peers
+/// and calls under way.
+const ACCEPTED: usize = 70;
+const WAITING: usize = 10;
+const KEPT: usize = 10;
+
 /// What is known of another controller.
 #[derive(Clone, Debug)]
 pub struct PeerInfo {
@@ -64,9 +72,8 @@
     pub http: Arc<Client>,
     pub links: Links,
     inner: Mutex<Inner>,
-    /// Connections that may yet be accepted from users and workers, and how many there are in all.
-    pub slots: Arc<Semaphore>,
-    connections: usize,
+    /// The connections of users and workers.
+    pub connections: Arc<Connections>,
     /// Wakes the leader's loop.
     pub wake: Notify,
     /// Wakes the reader of the newest records.
@@ -78,7 +85,7 @@
 /// Runs a controller until the process is killed.
 pub async fn serve(settings: Settings) -> Result<()> {
     let clock = Clock::start();
-    let http = Arc::new(Client::default());
+    let http = Arc::new(Client::new(settings.sockets * KEPT / 100));
     let limits = &settings.store;
     let store = Store::new(
         http.clone(),
@@ -90,7 +97,7 @@
     );
     let cloud = Cloud::new(http.clone(), settings.cloud, clock, settings.cloud_rps);
     let (api, peer_bind) = (settings.api, settings.peer_bind);
-    let connections = (settings.sockets * 7 / 10).max(1);
+    let sockets = settings.sockets;
     let node = Arc::new(Node {
         settings,
         clock,
@@ -109,8 +116,7 @@
             knocks: HashMap::new(),
             rng: SmallRng::from_os_rng(),
         }),
-        slots: Arc::new(Semaphore::new(connections)),
-        connections,
+        connections: Arc::new(Connections::new(sockets * ACCEPTED / 100)),
         wake: Notify::new(),
         fresh_wanted: Notify::new(),
         fresh_started: AtomicU64::new(0),
@@ -129,17 +135,27 @@
     tokio::spawn(crate::lead::run(node.clone()));
     tokio::spawn(crate::lead::list_machines(node.clone()));
     let cannot = || format!("cannot serve on api_addr {api}");
-    let acceptor = PoemListener::bind(api.to_string())
-        .into_acceptor()
-        .await
-        .with_context(cannot)?;
-    Server::new_with_acceptor(Bounded::new(acceptor, node.slots.clone()))
+    let acceptor = listen(api, sockets * WAITING / 100).with_context(cannot)?;
+    let acceptor = Bounded::new(acceptor, clock, node.connections.clone());
+    Server::new_with_acceptor(acceptor)
         .idle_timeout(STALLED)
         .run(Api(node))
         .await
         .with_context(cannot)
 }
 
+/// Listens with a bounded queue: those that wait to be accepted take sockets as well.
+fn listen(addr: SocketAddr, waiting: usize) -> std::io::Result<TcpAcceptor> {
+    let socket = if addr.is_ipv4() {
+        tokio::net::TcpSocket::new_v4()?
+    } else {
+        tokio::net::TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    TcpAcceptor::from_tokio(socket.listen(waiting.clamp(8, 1_024) as u32)?)
+}
+
 impl Node {
     pub fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(|e| e.into_inner())
@@ -155,12 +171,6 @@
         tokio::time::sleep(Duration::from_millis(ms)).await;
     }
 
-    /// Whether a worker is to open a new connection for its next report: otherwise a leader with
-    /// more machines than sockets would have none left for users.
-    pub fn crowded(&self) -> bool {
-        self.slots.available_permits() * 3 < self.connections
-    }
-
     pub fn is_up(&self) -> bool {
         let i = self.lock();
         if !i.synced || i.catalog.is_none() {
