A leader that stood still trusts neither old answers of peers nor unread silence

Cause, by reading for pauses: peers' answers were stamped when they were read. A leader that woke from a pause during an outage could take answers that had lain in its sockets for proof that nobody has the store, and go on answering workers for 3 s although another might have taken office. Answers now count from when the question was sent; a peer's own greeting proves nothing of the present. And a leader that kept its office over a pause took all machines for silent before it had read their reports: silence now counts from when it went on.

--- a/crates/saltpitch-core/src/leader/evidence.rs
+++ b/crates/saltpitch-core/src/leader/evidence.rs
@@ -684,7 +684,7 @@
             Phase::Returning(false) => return self.lease_end(name, over, now).min(soon),
             _ => {}
         }
-        let quiet = now.since(m.last_heard.max(self.took_office));
+        let quiet = now.since(m.last_heard.max(self.awake_since));
         let asks = m.phase == Phase::Up || !m.holds.is_empty();
         // Machines that an earlier leader knew; what boots for us will report by itself.
         let unfenced = m.phase == Phase::Unheard && m.recorded && m.born < self.took_office;
@@ -720,7 +720,7 @@
             return soon;
         };
         let next = if m.phase == Phase::Up {
-            m.last_heard.plus(report.times(1.4))
+            m.last_heard.max(self.awake_since).plus(report.times(1.4))
         } else {
             now.plus(Micros::from_secs(2))
         };
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -72,6 +72,9 @@
     Deadline(f64),
 }
 
+/// A leader whose loops did not run for this long stood still, and so did its reading of reports.
+const STOOD_STILL: Micros = Micros::from_secs(2);
+
 /// How fast production's past demand fades from the estimate of what is to come.
 const FADE: Micros = Micros::from_secs(60);
 
@@ -311,7 +314,10 @@
     pub open_zones: BTreeSet<String>,
     /// Time of day less steady time, as of taking office: for ages in records.
     wall_offset: Micros,
-    /// When office was taken: silence is counted from then.
+    /// When office was taken, or this process went on after it had stood still: silence is counted
+    /// from then, since what was said meanwhile has not been read yet.
+    awake_since: Micros,
+    polled_at: Micros,
     took_office: Micros,
 }
 
@@ -387,6 +393,8 @@
             ranks: HashMap::new(),
             open_zones: BTreeSet::new(),
             wall_offset: wall.since(now),
+            awake_since: now,
+            polled_at: now,
             took_office: now,
         };
         for (no, (_, block)) in &view.blocks {
@@ -868,6 +876,9 @@
 
     /// Runs whatever is due and hands out the effects.
     pub fn poll(&mut self, now: Micros) -> Vec<Effect> {
+        if now.since(std::mem::replace(&mut self.polled_at, now)) > STOOD_STILL {
+            self.awake_since = now;
+        }
         if now >= self.next_tick {
             self.next_tick = now.plus(Micros::from_millis(500));
             self.tick(now);
@@ -927,7 +938,7 @@
                 all.2 += 1;
             } else if up {
                 all.0 += 1;
-                all.1 += usize::from(now.since(m.last_heard) < quiet);
+                all.1 += usize::from(now.since(m.last_heard.max(self.awake_since)) < quiet);
             }
         }
         all
--- a/crates/saltpitch-core/tests/directed.rs
+++ b/crates/saltpitch-core/tests/directed.rs
@@ -417,6 +417,25 @@
     assert!(d.returns.is_empty(), "{:?}", d.returns);
 }
 
+/// A leader that stood still through an outage of the store keeps its office. When it goes on, the
+/// reports of that time are still unread: nobody is closed for new work, asked or returned for them.
+#[test]
+fn a_leader_that_stood_still_takes_nobody_for_silent() {
+    let mut d = Desk::new(|_| {}, secs(0));
+    for m in 0..10 {
+        d.report(&format!("vm-{m}"), "east", 1, &[]);
+    }
+    d.pass(secs(1));
+    d.now = d.now.plus(secs(12));
+    d.report("vm-0", "east", 2, &[]);
+    let asked = |e: &Effect| matches!(e, Effect::Probe { .. });
+    assert!(!d.leader.poll(d.now).iter().any(asked));
+    assert!(d.leader.summary().contains("(0 closed)"));
+    assert_eq!(d.leader.heard(d.now), (10, 10, 0));
+    d.pass(secs(7));
+    assert!(!d.leader.summary().contains("(0 closed)"), "then they are");
+}
+
 /// The counterpart: one silent machine among others that are heard is returned soon.
 #[test]
 fn one_silent_machine_is_returned() {
--- a/crates/saltpitch/src/lead.rs
+++ b/crates/saltpitch/src/lead.rs
@@ -115,7 +115,7 @@
             let peers = &node.settings.peers;
             let say_no_store = peers.iter().filter(|p| {
                 i.peers.get(&p.node).is_some_and(|x| {
-                    !x.hello.store_up && now.since(x.at) < Micros::from_millis(2_500)
+                    !x.had_store && x.answered_within(Micros::from_millis(2_500), now)
                 })
             });
             let common = leadership::common_outage(peers.len(), say_no_store.count());
@@ -299,7 +299,7 @@
         .filter(|p| {
             i.peers
                 .get(&p.node)
-                .is_some_and(|x| now.since(x.at) < Micros::from_millis(1_500))
+                .is_some_and(|x| x.answered_within(Micros::from_millis(1_500), now))
         })
         .map(|p| p.zone.clone())
         .collect();
--- a/crates/saltpitch/src/node.rs
+++ b/crates/saltpitch/src/node.rs
@@ -46,6 +46,32 @@
 pub struct PeerInfo {
     pub hello: Hello,
     pub at: Micros,
+    /// When it was asked the last question that it answered, and whether it had the store then. What
+    /// lay in this node's sockets while it stood still says nothing of the present, whenever it is
+    /// read: only the time of asking tells how old an answer may be.
+    pub asked: Micros,
+    pub had_store: bool,
+}
+
+impl PeerInfo {
+    /// A peer said this at `at`; `asked`: in answer to a question of that time.
+    fn new(hello: Hello, at: Micros, asked: Option<Micros>, old: Option<&PeerInfo>) -> PeerInfo {
+        let (asked, had_store) = match asked {
+            Some(asked) => (asked, hello.store_up),
+            None => old.map_or((Micros::ZERO, false), |p| (p.asked, p.had_store)),
+        };
+        PeerInfo {
+            hello,
+            at,
+            asked,
+            had_store,
+        }
+    }
+
+    /// It answered a question that was asked since then.
+    pub fn answered_within(&self, span: Micros, now: Micros) -> bool {
+        now.since(self.asked) < span
+    }
 }
 
 /// The part of a node that its tasks share. Never locked across an await.
@@ -613,7 +639,8 @@
         }
     }
 
-    pub fn met_peer(&self, hello: Hello) {
+    /// A peer said this of itself.
+    pub fn met_peer(&self, hello: Hello, asked: Option<Micros>) {
         let at = self.now();
         let mut i = self.lock();
         if hello.owner != self.settings.node || hello.life != i.life {
@@ -622,7 +649,9 @@
         if !self.settings.peers.iter().any(|p| p.node == hello.node) {
             return;
         }
-        i.peers.insert(hello.node.clone(), PeerInfo { hello, at });
+        let old = i.peers.get(&hello.node);
+        let info = PeerInfo::new(hello, at, asked, old);
+        i.peers.insert(info.hello.node.clone(), info);
     }
 
     /// Puts this process's life on record: it proves that an earlier one answers nobody.
@@ -722,8 +751,9 @@
             loop {
                 let ask = Ask::Hello(node.hello());
                 let limit = Duration::from_millis(1_000);
+                let asked = node.now();
                 if let Some(Say::Hello(h)) = node.links.ask(p.addr, &ask, limit).await {
-                    node.met_peer(h);
+                    node.met_peer(h, Some(asked));
                 }
                 node.pause(700).await;
             }
@@ -748,3 +778,32 @@
         node.pause(if have { 30_000 } else { 700 }).await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A leader that stood still reads old answers when it wakes: a peer's word that it had no store
+    /// must not let it go on answering workers, since somebody may have taken office meanwhile.
+    #[test]
+    fn an_answer_is_as_old_as_its_question() {
+        let hello = Hello {
+            node: "n1".to_owned(),
+            term: 1,
+            owner: "n0".to_owned(),
+            life: 1,
+            leads: false,
+            store_up: false,
+            knocks: 0,
+        };
+        let (asked, woke) = (Micros::from_secs(100), Micros::from_secs(142));
+        let span = Micros::from_millis(2_500);
+        let late = PeerInfo::new(hello.clone(), woke, Some(asked), None);
+        assert!(!late.had_store && !late.answered_within(span, woke));
+        // Nor does its own greeting, which may have lain there as long.
+        let greeted = PeerInfo::new(hello.clone(), woke, None, Some(&late));
+        assert!(!greeted.answered_within(span, woke));
+        let now = PeerInfo::new(hello, woke, Some(woke), Some(&greeted));
+        assert!(now.answered_within(span, woke));
+    }
+}
--- a/crates/saltpitch/src/peer.rs
+++ b/crates/saltpitch/src/peer.rs
@@ -128,7 +128,7 @@
                 };
                 let say = match ask {
                     Ask::Hello(h) => {
-                        node.met_peer(h);
+                        node.met_peer(h, None);
                         Say::Hello(node.hello())
                     }
                     Ask::User(op) => match node.user_op(op, false).await {
