Segments of the log hold more jobs, and checkpoints keep ahead of the ring

A segment's conditions were counted by the few changes left to the moment (a handful of jobs each), and when the ring of 2,048 segments came round to the first rush, hundreds of services needed checkpoints at once, behind everything else. Now a transaction may always use the four conditions per write that the store allows, outcomes need none, checkpoints are written a quarter of the ring ahead with what is left over, and in the last eighth they go before finals and machines.

The leader's log line now tells the segment number and how many are free.

--- a/crates/saltpitch-core/src/leader/commit.rs
+++ b/crates/saltpitch-core/src/leader/commit.rs
@@ -120,6 +120,16 @@
         }
     }
 
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// How many segments can be written before one that may still be needed is overwritten.
+    pub fn room(&self) -> u64 {
+        let first = self.live.keys().next();
+        first.map_or(self.ring, |no| (no + self.ring).saturating_sub(self.next))
+    }
+
     /// The key that the next segment goes to.
     fn slot(&self) -> u32 {
         (self.next % self.ring) as u32
@@ -309,12 +319,14 @@
     when: Vec<(String, u64)>,
     writes: Vec<Write>,
     bytes: usize,
+    /// The most conditions, whatever the number of writes.
+    max_when: usize,
 }
 
 impl Batch {
     fn fits(&self, ops: usize, writes: usize, bytes: usize, max: usize) -> bool {
         self.writes.len() + writes <= ops
-            && self.when.len() + 2 * writes < ops * 4
+            && self.when.len() + 2 * writes <= self.max_when
             && self.bytes + bytes <= max
     }
 
@@ -377,11 +389,18 @@
             when: vec![(TERM_KEY.to_owned(), self.term_rev)],
             writes: Vec::new(),
             bytes: 100,
+            max_when: self.cfg.txn_ops * 4,
         };
         let mut p = Pending::default();
         self.add_segment(&mut b, &mut p, ops, max, now);
-        let half = b.writes.len() + (ops - b.writes.len()).div_ceil(2);
-        self.add_finals(&mut b, &mut p, half, max);
+        let half = |b: &Batch| b.writes.len() + (ops - b.writes.len()).div_ceil(2);
+        // A log without a free segment would hold up every placement: rather finals and machines wait.
+        if self.log.room() < self.log.ring / 8 {
+            let some = half(&b);
+            self.add_checkpoints(&mut b, &mut p, some, max);
+        }
+        let some = half(&b);
+        self.add_finals(&mut b, &mut p, some, max);
         self.add_blocks(&mut b, &mut p, ops, max, now);
         self.add_checkpoints(&mut b, &mut p, ops, max);
         self.add_finals(&mut b, &mut p, ops, max);
@@ -497,8 +516,10 @@
             .min(max / 2);
         let mut entries: BTreeMap<JobNo, Vec<Entry>> = BTreeMap::new();
         let mut bytes = 60;
-        // The segment's own key and a few finals and blocks need conditions as well.
-        let conditions = (ops * 4).saturating_sub(b.when.len() + 2 * ops + 1).max(1);
+        // Placements are on condition of their job. The segment's own key and the other writes need
+        // conditions as well.
+        let spare = b.max_when.saturating_sub(b.when.len() + 2 * ops).max(1);
+        let mut placed: BTreeSet<JobNo> = BTreeSet::new();
         while let Some(&(_, no, task)) = self.dirty.queue.first() {
             let Some(job) = self.jobs.get_mut(&no) else {
                 self.dirty.remove(no, task);
@@ -509,9 +530,13 @@
             } else {
                 job.id.len() + 8
             };
-            if bytes + head + 250 > limit || (head > 0 && entries.len() >= conditions) {
+            let places = job.tasks[task as usize].place.is_some() && !placed.contains(&no);
+            if bytes + head + 250 > limit || (places && placed.len() >= spare) {
                 break;
             }
+            if places {
+                placed.insert(no);
+            }
             self.dirty.remove(no, task);
             let entry = entry_of(task, &mut job.tasks[task as usize], job.gang);
             bytes += head + entry.2.len() + 32;
@@ -544,8 +569,7 @@
     /// Whether nothing needs the segment any more that the next one overwrites.
     fn slot_is_free(&mut self) -> bool {
         self.forget_segments();
-        let first = self.log.live.keys().next();
-        first.is_none_or(|no| no + self.log.ring > self.log.next)
+        self.log.room() > 0
     }
 
     /// Drops the oldest segments of which checkpoints hold all that still matters.
@@ -569,14 +593,16 @@
     fn add_checkpoints(&mut self, b: &mut Batch, p: &mut Pending, ops: usize, max: usize) {
         self.forget_segments();
         let upto = self.log.next - u64::from(p.segment.is_none());
-        // Some way ahead of the segment that is overwritten next.
-        let ahead = self.log.next + self.log.ring / 8 + 1;
+        // Some way ahead of the segment that is overwritten next: what is placed in a rush and stays,
+        // as services do, would otherwise need hundreds of checkpoints at once.
+        let ahead = self.log.next + self.log.ring / 4 + 1;
         let old: Vec<(JobNo, u32)> = (self.log.live.iter())
             .take_while(|(no, _)| **no + self.log.ring < ahead)
-            .take(8)
+            .take(64)
             .flat_map(|(no, chunks)| chunks.iter().map(move |c| (*no, *c)))
             .filter(|(no, (job, c))| self.needs(*no, *job, *c))
             .map(|(_, chunk)| chunk)
+            .take(ops * 2)
             .collect();
         for (no, c) in old {
             if p.chunks.contains(&(no, c)) {
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -970,7 +970,7 @@
             .map(|(t, (n, used, all))| format!("{t} {n}: {used}/{all}"))
             .collect();
         format!(
-            "term {} jobs {} waiting {} placed {} machines {} up {} ({} closed) [{}] dirty {} paused {}",
+            "term {} jobs {} waiting {} placed {} machines {} up {} ({} closed) [{}] dirty {} log {} free {} paused {}",
             self.term,
             self.jobs.len(),
             idle,
@@ -980,6 +980,8 @@
             lost.count(),
             room.join(", "),
             self.dirty.len() + self.final_jobs.len() + self.blocks.dirty(),
+            self.log.next(),
+            self.log.room(),
             self.paused
         )
     }
--- a/crates/saltpitch-core/tests/directed.rs
+++ b/crates/saltpitch-core/tests/directed.rs
@@ -130,6 +130,8 @@
     orders: Vec<(Arc<str>, Vec<Order>)>,
     returns: BTreeSet<String>,
     writes: usize,
+    /// Of these, segments of the log.
+    segments: usize,
     rented: u32,
     /// The types that the cloud was asked for, request by request.
     asked: Vec<String>,
@@ -170,6 +172,7 @@
             orders: Vec::new(),
             returns: BTreeSet::new(),
             writes: 0,
+            segments: 0,
             rented: 0,
             asked: Vec::new(),
         }
@@ -195,6 +198,8 @@
                 match e {
                     Effect::Txn { writes, .. } => {
                         self.writes += writes.len();
+                        let of_log = writes.iter().filter(|w| w.key.starts_with("salt/l/"));
+                        self.segments += of_log.count();
                         self.rev += 1;
                         self.leader.committed(Outcome::Done(self.rev), self.now);
                     }
@@ -711,3 +716,25 @@
     let accel = d.asked.iter().position(|t| t == "accel");
     assert!(accel.is_some_and(|at| at <= 6), "{:?}", d.asked);
 }
+
+/// Found in the log of a day at 2,841 machines, where thousands of changes waited to be written: with
+/// few changes left to the moment, a segment spoke of a handful of jobs only, although a transaction
+/// may hold four conditions for each write that it may ever have.
+#[test]
+fn a_segment_speaks_of_many_jobs_however_few_changes_are_left() {
+    let mut cfg = config();
+    cfg.teams[0].cpu_max = 0;
+    (cfg.txn_ops, cfg.write_rate) = (12, 8.0);
+    let mut d = Desk::with(cfg, |_| {}, secs(0));
+    for m in 0..10 {
+        d.report(&format!("vm-{m}"), "east", 1, &[]);
+    }
+    d.pass(secs(1));
+    for j in 0..40 {
+        d.submit(&format!("job-{j}"), spec(Kind::Array, 1, 1));
+    }
+    d.segments = 0;
+    d.pass(secs(5));
+    assert!(d.leader.summary().contains("placed 40"));
+    assert!((1..=3).contains(&d.segments), "{} segments", d.segments);
+}
