--- a/crates/saltpitch-core/tests/directed.rs
+++ b/crates/saltpitch-core/tests/directed.rs
@@ -724,7 +724,7 @@
 fn a_segment_speaks_of_many_jobs_however_few_changes_are_left() {
     let mut cfg = config();
     cfg.teams[0].cpu_max = 0;
-    (cfg.txn_ops, cfg.write_rate) = (12, 8.0);
+    (cfg.txn_ops, cfg.write_rate) = (12, 2.0);
     let mut d = Desk::with(cfg, |_| {}, secs(0));
     for m in 0..10 {
         d.report(&format!("vm-{m}"), "east", 1, &[]);
