--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -172,10 +172,14 @@
     /// Machines whose accelerators others need lend their processors only to tasks that can save
     /// when they have to make way, and only while the machine is kept for those others anyway.
     fn may_borrow(&self, spec: &JobSpec, m: &Machine, now: Micros) -> bool {
-        if !self.contested_for(spec, &m.kind.size) {
-            return true;
-        }
-        spec.kind == Kind::Array && spec.saves() && now.since(m.wanted_at) < self.keep(m, now)
+        !self.contested_for(spec, &m.kind.size) || now.since(m.wanted_at) < self.keep(m, now)
+    }
+
+    /// Whether machines of this size may have a place for such tasks at all: room on them is not even
+    /// looked at for work that they never take.
+    fn ever_suits(&self, spec: &JobSpec, size: &Res) -> bool {
+        spec.need.fits(size)
+            && (!self.contested_for(spec, size) || (spec.kind == Kind::Array && spec.saves()))
     }
 
     pub(super) fn schedule(&mut self, now: Micros) {
@@ -318,13 +322,14 @@
         let limit = LOOKS + want.min(1_000) as usize;
         let mut found = Vec::new();
         for g in 0..self.fleet.groups.len() {
-            let group = &mut self.fleet.groups[g];
+            let group = &self.fleet.groups[g];
             if zone.is_some_and(|z| z != &*group.zone)
-                || !spec.need.fits(&group.kind.size)
+                || !self.ever_suits(&spec, &group.kind.size)
                 || !spec.allows(&group.kind.name, &group.zone, group.spot)
             {
                 continue;
             }
+            let group = &mut self.fleet.groups[g];
             let machines = &self.machines;
             let walk = group.walk(&spec.need, limit, |n| machines.get(n).map(Machine::free));
             self.steps += walk.steps;
