The index of free room holds the room itself; job ranks live in the jobs

Cause, from a profile of the core with a stand-in parking site under overload: a third of a pass went into looking up machines by name for room that the index could tell, and into hashing. New dependency: rustc-hash.

--- a/crates/saltpitch-core/src/fleet.rs
+++ b/crates/saltpitch-core/src/fleet.rs
@@ -1,9 +1,11 @@
 //! The machines' index, kept up by events: who has room, by type, zone and kind. A pass asks it
 //! instead of looking at every machine.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use rustc_hash::FxHashMap;
+
 use crate::catalog::{MachineType, Res};
 use crate::cluster::Machine;
 use crate::job::Priority;
@@ -11,6 +13,9 @@
 
 pub type GroupNo = usize;
 
+/// Needs of which a group remembers how far it was searched: users choose them freely.
+const MAX_WALKS: usize = 4_096;
+
 /// What the index knows of one machine; lives in the machine.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Indexed {
@@ -36,11 +41,11 @@
     pub zone: Arc<str>,
     pub spot: bool,
     pub members: BTreeSet<Arc<str>>,
-    /// Those that take tasks and have processors left, by how many.
-    room: BTreeSet<(u64, Arc<str>)>,
+    /// Those that take tasks and have processors left, by how many, and all that is free there.
+    room: BTreeMap<(u64, Arc<str>), Res>,
     /// Counts whenever room appears.
     grown: u64,
-    walks: HashMap<Res, Walk>,
+    walks: FxHashMap<Res, Walk>,
     /// Placed tasks by priority.
     pub load: [u32; 4],
     /// Processors that its machines give to batch work.
@@ -100,11 +105,14 @@
     }
 
     /// Up to `limit` machines are looked at; those with room for `need`, the fullest first.
-    pub fn walk(&mut self, need: &Res, limit: usize, holds: impl Fn(&str) -> Option<Res>) -> Found {
+    pub fn walk(&mut self, need: &Res, limit: usize) -> Found {
         let mut found = Found {
             fits: Vec::new(),
             steps: 1,
         };
+        if self.walks.len() >= MAX_WALKS {
+            self.walks.clear();
+        }
         let walk = self.walks.entry(*need).or_default();
         if walk.full_at == Some(self.grown) {
             return found;
@@ -120,13 +128,13 @@
         };
         let whole = matches!(from.0, std::ops::Bound::Included(_));
         let mut last = None;
-        for entry in self.room.range(from) {
+        for (entry, free) in self.room.range(from) {
             if found.steps as usize > limit {
                 last = Some(entry.clone());
                 break;
             }
             found.steps += 1;
-            if holds(&entry.1).is_some_and(|free| need.fits(&free)) {
+            if need.fits(free) {
                 found.fits.push(entry.1.clone());
             }
         }
@@ -154,9 +162,9 @@
             zone: zone.clone(),
             spot,
             members: BTreeSet::new(),
-            room: BTreeSet::new(),
+            room: BTreeMap::new(),
             grown: 0,
-            walks: HashMap::new(),
+            walks: FxHashMap::default(),
             load: [0; 4],
             batch: 0,
             keep: Micros::from_secs(60),
@@ -201,13 +209,11 @@
             return;
         }
         let key = |r: Option<Res>| r.map(|r| r.cpu).filter(|c| *c > 0);
-        if key(old) != key(free) {
-            if let Some(c) = key(old) {
-                group.room.remove(&(c, m.name.clone()));
-            }
-            if let Some(c) = key(free) {
-                group.room.insert((c, m.name.clone()));
-            }
+        if let Some(c) = key(old).filter(|_| key(old) != key(free)) {
+            group.room.remove(&(c, m.name.clone()));
+        }
+        if let (Some(c), Some(free)) = (key(free), free) {
+            group.room.insert((c, m.name.clone()), free);
         }
         if free.is_some_and(|new| old.is_none_or(|old| !new.fits(&old))) {
             group.grown += 1;
--- a/crates/saltpitch-core/src/leader/commit.rs
+++ b/crates/saltpitch-core/src/leader/commit.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use rustc_hash::FxHashMap;
 use serde::Serialize;
 
 use super::{Config, Effect, Leader, Place, Task, Write};
@@ -25,7 +26,7 @@
 /// Tasks that differ from their records, in the order in which they are to be written.
 #[derive(Default)]
 pub(super) struct Dirty {
-    due: HashMap<(JobNo, u32), Micros>,
+    due: FxHashMap<(JobNo, u32), Micros>,
     queue: BTreeSet<(Micros, JobNo, u32)>,
 }
 
--- a/crates/saltpitch-core/src/leader/consolidate.rs
+++ b/crates/saltpitch-core/src/leader/consolidate.rs
@@ -103,9 +103,8 @@
                 {
                     continue;
                 }
-                let machines = &self.machines;
                 let group = &mut self.fleet.groups[g];
-                let walk = group.walk(&spec.need, TARGETS, |n| machines.get(n).map(Machine::free));
+                let walk = group.walk(&spec.need, TARGETS);
                 self.steps += walk.steps;
                 found = walk.fits.into_iter().find(|n| {
                     let Some(t) = self.machines.get(n).filter(|_| n != name) else {
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -193,6 +193,8 @@
     /// All tasks were placed at one time.
     pub started: bool,
     pub zones: BTreeMap<Arc<str>, u32>,
+    /// Its place in the order of service, as of the last pass; the last as long as there was none.
+    pub rank: u8,
 }
 
 impl Job {
@@ -307,8 +309,6 @@
     batch_placed: f64,
     /// Machines and jobs looked at: what a pass costs, for tests.
     steps: u64,
-    /// Each active job's place in the order of service, as of the last pass.
-    ranks: HashMap<JobNo, u8>,
     /// Zones in which a controller can be reached from here: a silent machine there is no sign of
     /// a cut.
     pub open_zones: BTreeSet<String>,
@@ -390,7 +390,6 @@
             gpu_asked: Micros::ZERO,
             batch_placed: 0.0,
             steps: 0,
-            ranks: HashMap::new(),
             open_zones: BTreeSet::new(),
             wall_offset: wall.since(now),
             awake_since: now,
@@ -520,6 +519,7 @@
             room_by: None,
             started: false,
             zones: BTreeMap::new(),
+            rank: u8::MAX,
             spec,
         };
         let mut places = Vec::new();
@@ -618,7 +618,8 @@
     /// Nothing more of this job is to be placed.
     fn close(&mut self, no: JobNo) {
         self.open.remove(&no);
-        if let Some(job) = self.jobs.get(&no) {
+        if let Some(job) = self.jobs.get_mut(&no) {
+            job.rank = u8::MAX;
             self.by_age.remove(&(job.submitted, no));
         }
     }
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -1,6 +1,6 @@
 //! Placement: job by job in order of urgency, task by task on one snapshot.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::{Aim, Job, Leader, Seen};
@@ -55,7 +55,7 @@
     /// Jobs with tasks to place, most urgent first: production, then what lies within its team's
     /// guarantee, then the rest, each by priority and age.
     pub(super) fn waiting(&mut self, now: Micros) -> Vec<Waiting> {
-        let mut ranks = HashMap::with_capacity(self.by_age.len());
+        let mut ranks = Vec::with_capacity(self.by_age.len());
         let mut claimed = vec![Res::default(); self.quota.len()];
         let mut list = Vec::with_capacity(self.open.len());
         self.steps += self.by_age.len() as u64;
@@ -85,7 +85,7 @@
                 _ if due.is_some() => 4,
                 _ => 5,
             };
-            ranks.insert(*no, rank);
+            ranks.push((*no, rank));
             if j.idle.is_empty() {
                 continue;
             }
@@ -118,7 +118,11 @@
             ));
         }
         list.sort_unstable_by_key(|x| x.0);
-        self.ranks = ranks;
+        for (no, rank) in ranks {
+            if let Some(job) = self.jobs.get_mut(&no) {
+                job.rank = rank;
+            }
+        }
         list.into_iter().map(|x| x.1).collect()
     }
 
@@ -330,8 +334,7 @@
                 continue;
             }
             let group = &mut self.fleet.groups[g];
-            let machines = &self.machines;
-            let walk = group.walk(&spec.need, limit, |n| machines.get(n).map(Machine::free));
+            let walk = group.walk(&spec.need, limit);
             self.steps += walk.steps;
             found.extend(walk.fits);
         }
@@ -689,9 +692,8 @@
             return true;
         }
         // Only what is served later anyway: otherwise two jobs could stop each other in turn.
-        let rank = |no: JobNo| self.ranks.get(&no).copied().unwrap_or(u8::MAX);
-        let other_no = self.by_id.get(&other.id).copied().unwrap_or(0);
-        if rank(other_no) <= rank(w.no) {
+        let own = self.jobs.get(&w.no).map_or(u8::MAX, |j| j.rank);
+        if other.rank <= own {
             return false;
         }
         if other.spec.priority < spec.priority {
