--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -26,7 +26,7 @@
 /// Gangs are served in this order of the time left to them.
 const SLOT: Micros = Micros::from_secs(10);
 /// Gangs take their whole room at once, and come before everything of their team but production.
-const STARVED_GANG: Micros = Micros::from_secs(190);
+const STARVED_GANG: Micros = Micros::from_secs(170);
 
 /// A job waiting for room, in the order in which jobs are served.
 #[derive(Clone, Copy, Debug)]
--- a/crates/saltpitch-testkit/src/nodes.rs
+++ b/crates/saltpitch-testkit/src/nodes.rs
@@ -27,6 +27,8 @@
     /// Cut from the store, and from the workers, until then.
     pub no_store_until: Micros,
     pub no_workers_until: Micros,
+    /// The process stands still until then, while its clocks run on: what arrives is read afterwards.
+    pub frozen_until: Micros,
     pub shy_until: Micros,
     pub deaf_since: Option<Micros>,
     /// A bid for the leadership is under way.
@@ -50,6 +52,7 @@
             elders_silent_at: Micros::ZERO,
             no_store_until: Micros::ZERO,
             no_workers_until: Micros::ZERO,
+            frozen_until: Micros::ZERO,
             shy_until: Micros::ZERO,
             deaf_since: None,
             bidding: false,
@@ -60,6 +63,11 @@
         now >= self.up_at
     }
 
+    /// How long it will yet stand still.
+    pub fn frozen(&self, now: Micros) -> Micros {
+        self.frozen_until.since(now)
+    }
+
     pub fn may_answer(&self, now: Micros) -> bool {
         self.is_up(now) && self.leader.is_some() && now < self.answers_until
     }
--- a/crates/saltpitch-testkit/src/world.rs
+++ b/crates/saltpitch-testkit/src/world.rs
@@ -46,11 +46,13 @@
     pub deaf: bool,
     /// Copies of reports that come again, seconds to several leases later, at any node.
     pub copies: bool,
+    /// Controllers that stand still, for longer than any lease at times, while their clocks run on.
+    pub freezes: bool,
 }
 
 impl Faults {
     fn any(&self) -> bool {
-        self.crashes || self.cuts || self.zone_cuts || self.outages
+        self.crashes || self.cuts || self.zone_cuts || self.outages || self.freezes
     }
 
     pub fn all() -> Faults {
@@ -63,6 +65,7 @@
             losses: true,
             deaf: true,
             copies: true,
+            freezes: true,
         }
     }
 }
@@ -294,15 +297,16 @@
         let now = self.now;
         let wrong = self.store.down
             || now < self.apart_until
-            || self
-                .nodes
-                .iter()
-                .any(|n| !n.is_up(now) || now < n.no_store_until || now < n.no_workers_until);
+            || self.nodes.iter().any(|n| {
+                let cut = now < n.no_store_until || now < n.no_workers_until;
+                cut || !n.is_up(now) || n.frozen(now) > Micros::ZERO
+            });
         if wrong || (now < self.quiet_from && self.faults.any()) {
             self.calm_since = now;
         }
         for node in &mut self.nodes {
-            if node.reaches_store(&self.store, now) && node.is_up(now) {
+            let awake = node.is_up(now) && node.frozen(now) == Micros::ZERO;
+            if node.reaches_store(&self.store, now) && awake {
                 node.follow(&self.store, now);
             }
         }
@@ -371,6 +375,10 @@
             let wait = Micros::from_secs(3 + self.luck(30));
             self.apart_until = self.now.plus(wait);
         }
+        if self.chance(f.freezes, 0.02) {
+            let n = self.luck(3) as usize;
+            self.nodes[n].frozen_until = self.now.plus(Micros::from_secs(1 + self.luck(45)));
+        }
         if self.chance(f.outages, 0.01) {
             self.store.down = true;
             let wait = Micros::from_secs(2 + self.luck(25));
@@ -443,7 +451,7 @@
 
     fn node_tick(&mut self, n: usize) {
         let now = self.now;
-        if !self.nodes[n].is_up(now) {
+        if !self.nodes[n].is_up(now) || self.nodes[n].frozen(now) > Micros::ZERO {
             return;
         }
         let reaches = self.nodes[n].reaches_store(&self.store, now);
@@ -506,6 +514,10 @@
                     return;
                 }
                 w.nodes[n].bidding = false;
+                if w.nodes[n].frozen(w.now) > Micros::ZERO {
+                    // Read when nobody waits for it any more; the hold ends by itself.
+                    return;
+                }
                 let reaches = w.nodes[n].reaches_store(&w.store, w.now);
                 match done {
                     Outcome::Done(rev) if !lost && reaches => {
@@ -588,8 +600,12 @@
     }
 
     /// Gives an answer to the leader that asked, if it still leads; then runs its loops.
-    fn tell(&mut self, n: usize, epoch: u64, f: impl FnOnce(&mut Leader, Micros)) {
+    fn tell(&mut self, n: usize, epoch: u64, f: impl FnOnce(&mut Leader, Micros) + 'static) {
         let now = self.now;
+        let frozen = self.nodes[n].frozen(now);
+        if frozen > Micros::ZERO {
+            return self.after(frozen, move |w| w.tell(n, epoch, f));
+        }
         let node = &mut self.nodes[n];
         if node.epoch == epoch && node.is_up(now) {
             if let Some(l) = node.leader.as_mut() {
@@ -604,21 +620,7 @@
             Effect::Txn { when, writes } => self.send_txn(n, epoch, when, writes),
             Effect::Refresh => {
                 let d = self.delay();
-                self.after(d, move |w| {
-                    let now = w.now;
-                    let ok = w.nodes[n].reaches_store(&w.store, now);
-                    if w.nodes[n].epoch != epoch || !w.nodes[n].is_up(now) {
-                        return;
-                    }
-                    if ok {
-                        w.nodes[n].follow(&w.store, now);
-                    }
-                    let node = &mut w.nodes[n];
-                    if let Some(l) = node.leader.as_mut() {
-                        l.refreshed(ok.then_some(&node.view), now, now);
-                    }
-                    w.poll(n);
-                });
+                self.after(d, move |w| w.refresh(n, epoch));
             }
             Effect::Orders {
                 machine,
@@ -631,7 +633,7 @@
                 let d = self.delay();
                 self.after(d, move |w| {
                     if w.cut(n, &machine).max(w.unheard(&machine)) > Micros::ZERO {
-                        w.tell(n, epoch, |l, now| l.probe_failed(&machine, now));
+                        w.tell(n, epoch, move |l, now| l.probe_failed(&machine, now));
                         return;
                     }
                     let now = w.now;
@@ -641,12 +643,12 @@
                         .filter(|m| m.is_up(now))
                         .map(Worker::report);
                     if r.is_none() {
-                        w.tell(n, epoch, |l, now| l.probe_failed(&machine, now));
+                        w.tell(n, epoch, move |l, now| l.probe_failed(&machine, now));
                     }
                     if let Some(r) = r {
                         let d = w.delay();
                         w.after(d, move |w| {
-                            w.tell(n, epoch, |l, now| l.heard_directly(r, now));
+                            w.tell(n, epoch, move |l, now| l.heard_directly(r, now));
                         });
                     }
                 });
@@ -668,7 +670,7 @@
                         (end, Micros::from_millis(100))
                     };
                     w.after(wait, move |w| {
-                        w.tell(n, epoch, |l, now| l.rented(&request, end, now));
+                        w.tell(n, epoch, move |l, now| l.rented(&request, end, now));
                     });
                 });
             }
@@ -683,7 +685,7 @@
                             m.gone = true;
                         }
                     }
-                    w.tell(n, epoch, |l, now| l.returned(&names, now));
+                    w.tell(n, epoch, move |l, now| l.returned(&names, now));
                 });
             }
             Effect::RaiseTerm => {
@@ -706,7 +708,7 @@
                 };
                 let d = self.delay();
                 self.after(d, move |w| {
-                    w.tell(n, epoch, |l, _| match done {
+                    w.tell(n, epoch, move |l, _| match done {
                         Outcome::Done(rev) => l.term_raised(term + 1, rev),
                         _ => l.raise_failed(),
                     });
@@ -715,6 +717,26 @@
         }
     }
 
+    fn refresh(&mut self, n: usize, epoch: u64) {
+        let now = self.now;
+        let frozen = self.nodes[n].frozen(now);
+        if frozen > Micros::ZERO {
+            return self.after(frozen, move |w| w.refresh(n, epoch));
+        }
+        let ok = self.nodes[n].reaches_store(&self.store, now);
+        if self.nodes[n].epoch != epoch || !self.nodes[n].is_up(now) {
+            return;
+        }
+        if ok {
+            self.nodes[n].follow(&self.store, now);
+        }
+        let node = &mut self.nodes[n];
+        if let Some(l) = node.leader.as_mut() {
+            l.refreshed(ok.then_some(&node.view), now, now);
+        }
+        self.poll(n);
+    }
+
     /// A transaction may be applied late, and its answer may be lost.
     fn send_txn(&mut self, n: usize, epoch: u64, when: Vec<(String, u64)>, writes: Vec<Write>) {
         let cut = self.now < self.nodes[n].no_store_until;
@@ -724,14 +746,14 @@
                 w.store.txn(&when, &writes, None);
             });
             self.after(Micros::from_millis(1_500), move |w| {
-                w.tell(n, epoch, |l, now| l.committed(Outcome::Unknown, now));
+                w.tell(n, epoch, move |l, now| l.committed(Outcome::Unknown, now));
             });
             return;
         }
         if self.faults.losses && self.luck(20) == 0 {
             // Above its rate the store refuses.
             self.after(Micros::from_millis(5), move |w| {
-                w.tell(n, epoch, |l, now| l.committed(Outcome::Refused, now));
+                w.tell(n, epoch, move |l, now| l.committed(Outcome::Refused, now));
             });
             return;
         }
@@ -743,7 +765,7 @@
         };
         if lost {
             self.after(Micros::from_millis(1_500), move |w| {
-                w.tell(n, epoch, |l, now| l.committed(Outcome::Unknown, now));
+                w.tell(n, epoch, move |l, now| l.committed(Outcome::Unknown, now));
             });
         }
         self.after(Micros::from_millis(late), move |w| {
@@ -758,7 +780,7 @@
                 if deposed && w.nodes[n].epoch == epoch {
                     w.nodes[n].depose();
                 }
-                w.tell(n, epoch, |l, now| l.committed(done, now));
+                w.tell(n, epoch, move |l, now| l.committed(done, now));
             });
         });
     }
@@ -789,7 +811,7 @@
         if unanswered {
             let machine = machine.clone();
             self.after(Micros::from_millis(1_500), move |w| {
-                w.tell(n, epoch, |l, now| {
+                w.tell(n, epoch, move |l, now| {
                     l.ordered(&machine, session, token, starts, Ordered::Unknown, now);
                 });
             });
@@ -803,7 +825,7 @@
             }
             let d = w.delay();
             w.after(d, move |w| {
-                w.tell(n, epoch, |l, now| {
+                w.tell(n, epoch, move |l, now| {
                     l.ordered(&machine, session, token, starts, r, now);
                 });
             });
@@ -928,7 +950,7 @@
         let lag = Micros::from_secs(self.luck(12));
         self.after(lag, move |w| {
             let gone = w.nodes[n].view.gone.clone();
-            w.tell(n, epoch, |l, now| {
+            w.tell(n, epoch, move |l, now| {
                 l.listed(&list, &|x| gone.contains(x), now)
             });
         });
@@ -1012,6 +1034,10 @@
     /// A copy of an old report: whatever is answered, nobody listens.
     fn deliver_copy(&mut self, n: usize, r: Report) {
         let now = self.now;
+        let frozen = self.nodes[n].frozen(now);
+        if frozen > Micros::ZERO {
+            return self.after(frozen, move |w| w.deliver_copy(n, r));
+        }
         if !self.nodes[n].may_answer(now) {
             return;
         }
@@ -1025,6 +1051,10 @@
 
     fn deliver(&mut self, n: usize, r: Report) {
         let now = self.now;
+        let frozen = self.nodes[n].frozen(now);
+        if frozen > Micros::ZERO {
+            return self.after(frozen, move |w| w.deliver(n, r));
+        }
         if !self.nodes[n].is_up(now) {
             return;
         }
--- a/crates/saltpitch-testkit/tests/world.rs
+++ b/crates/saltpitch-testkit/tests/world.rs
@@ -97,6 +97,30 @@
     many(200..212, f, 100, 300);
 }
 
+/// Some for longer than a lease and than any bound on answers: what they read on waking is old, and
+/// others may have led meanwhile.
+#[test]
+fn nodes_that_stand_still() {
+    let f = Faults {
+        freezes: true,
+        ..Faults::default()
+    };
+    many(240..252, f, 100, 300);
+}
+
+/// The same together with outages, in which nobody else can take over, and with late messages.
+#[test]
+fn nodes_that_stand_still_through_outages() {
+    let f = Faults {
+        freezes: true,
+        outages: true,
+        losses: true,
+        copies: true,
+        ..Faults::default()
+    };
+    many(260..272, f, 100, 300);
+}
+
 #[test]
 fn outages_of_the_state_service() {
     let f = Faults {
