A leader without the store goes on only by each node's word on cancellations

The gap: the store refused the leader alone, another node confirmed cancellations, then the store was out for all. Every peer said that it had no store now, which let the leader go on without bound; it said nothing of what a peer had confirmed since the leader's own last view.

Now a leader asks every other node what it knows to be cancelled beyond the leader's records, acts on it, and its bound counts from the oldest such question. A node gives its word only after it has read the records in this life of its process; one of an older version gives none. A node knows its own cancellations from the answer on. All leaders before a term are silent by bound after that term was first seen, since this node's word would have named it; that holds through late bids and quick successions.

Frames name their fields now, which production's reader takes; it passes over new fields (fixed samples of both). To a leader of that version a node that lately learned of a cancellation does not say that it has no store.

--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -240,6 +240,8 @@
     quota: Quota,
     jobs: BTreeMap<JobNo, Job>,
     by_id: HashMap<Arc<str>, JobNo>,
+    /// Cancelled by another node's word, and not yet so in the records that this node has.
+    called_off: HashSet<String>,
     next_job: JobNo,
     machines: BTreeMap<Arc<str>, Machine>,
     fleet: Fleet,
@@ -347,6 +349,7 @@
             catalog,
             jobs: BTreeMap::new(),
             by_id: HashMap::new(),
+            called_off: HashSet::new(),
             next_job: 1,
             machines: BTreeMap::new(),
             fleet: Fleet::default(),
@@ -464,6 +467,26 @@
         self.old_silent_at = self.old_silent_at.min(silent_at);
     }
 
+    /// Another node's word: this job is cancelled, although the records that this node has don't show
+    /// it. What runs is stopped and nothing more is placed; the record catches up later.
+    pub fn called_off(&mut self, id: &str, now: Micros) {
+        match self.by_id.get(id) {
+            Some(&no) => {
+                let Some(job) = self.jobs.get_mut(&no) else {
+                    return;
+                };
+                if job.state == JobState::Active {
+                    job.state = JobState::Cancelled;
+                    self.cancel(no, now);
+                }
+            }
+            // Accepted and cancelled since this node read the records last.
+            None => {
+                self.called_off.insert(id.to_owned());
+            }
+        }
+    }
+
     /// A job's record appeared or changed.
     pub fn job_changed(&mut self, view: &View, id: &str, now: Micros, wall: Micros) {
         let Some(entry) = view.jobs.get(id) else {
@@ -490,6 +513,12 @@
         if entry.record.state == JobState::Done {
             return;
         }
+        let off = self.called_off.remove(id);
+        let state = if off {
+            JobState::Cancelled
+        } else {
+            entry.record.state
+        };
         let n = spec.tasks as usize;
         let no = self.next_job;
         self.next_job += 1;
@@ -502,7 +531,7 @@
             team: self.quota.number(&spec.team),
             id: id.into(),
             rev: entry.rev,
-            state: entry.record.state,
+            state,
             submitted: now.since(wall.since(entry.record.submitted)),
             tasks: vec![Task::default(); n],
             idle: (0..spec.tasks).collect(),
--- a/crates/saltpitch-core/src/leadership.rs
+++ b/crates/saltpitch-core/src/leadership.rs
@@ -1,12 +1,19 @@
 //! Who leads: when to take office, how long to go on without the store, when to give way.
 
+use std::collections::BTreeMap;
+
 use crate::leader::Write;
-use crate::records::{node_key, LeaderRecord, NodeRecord, TermRecord, View, LEADER_KEY, TERM_KEY};
+use crate::records::{
+    node_key, Cursor, LeaderRecord, NodeRecord, TermRecord, View, Word, LEADER_KEY, TERM_KEY,
+};
 use crate::time::Micros;
 
 /// How long the hold on the leadership lasts without renewal.
 pub const HOLD: Micros = Micros::from_secs(3);
 
+/// How long after a bid was made its maker may yet take office on it.
+const BID: Micros = Micros::from_secs(4);
+
 /// Whether the leadership can be taken by this process as far as its records say: nobody holds it,
 /// or an earlier life of this same node does, which is proven over by this one.
 pub fn vacant(view: &View, me: &str, life: u64) -> bool {
@@ -25,8 +32,8 @@
     pub writes: Vec<Write>,
     /// The leader before, if it is not proven gone.
     previous: Option<(String, u64)>,
-    /// Time of day from which the leaders before that one answer nobody.
-    elders: Micros,
+    /// On the steady clock: from then on the leaders before that one answer nobody.
+    elders_at: Micros,
 }
 
 /// From when on no earlier leader can answer a worker.
@@ -39,8 +46,22 @@
 }
 
 /// A bid on the records as this node has them; none if the leadership is not vacant. `bound`: how
-/// long a leader may answer workers after it was last confirmed.
-pub fn bid(view: &View, me: &str, life: u64, bound: Micros, wall: Micros) -> Option<Bid> {
+/// long a leader may answer workers after it was last confirmed. `term_seen`: when this node first
+/// saw the term that its records show.
+///
+/// All leaders before the one of that term are silent `bound` after it was seen. They answer for so
+/// long after the store renewed their hold, which it did before it took the next term, or after each
+/// other node gave its word, and this node's word would have named the term that it had seen. So
+/// this holds however late that term's transaction was carried out, and through any number of
+/// successions. `quiet` in the record says the same for versions that go by it.
+pub fn bid(
+    view: &View,
+    me: &str,
+    life: u64,
+    bound: Micros,
+    wall: Micros,
+    term_seen: Micros,
+) -> Option<Bid> {
     if !vacant(view, me, life) {
         return None;
     }
@@ -53,7 +74,7 @@
         node: me.to_owned(),
         life,
         quiet: match previous {
-            Some(_) => old.quiet.max(wall.plus(bound)),
+            Some(_) => old.quiet.max(wall.plus(bound).plus(BID)),
             None => old.quiet,
         },
     };
@@ -80,30 +101,25 @@
             },
         ],
         previous,
-        elders: old.quiet,
+        elders_at: if old.term > 1 {
+            term_seen.plus(bound)
+        } else {
+            Micros::ZERO
+        },
     })
 }
 
 impl Bid {
     /// The bid was carried out at `rev`. None if the records have gone on since: then the office is
     /// another's already.
-    pub fn won(
-        self,
-        view: &View,
-        rev: u64,
-        bound: Micros,
-        clock_error: Micros,
-        now: Micros,
-        wall: Micros,
-    ) -> Option<Silence> {
+    pub fn won(self, view: &View, rev: u64, bound: Micros, now: Micros) -> Option<Silence> {
         if view.term.0 != rev {
             return None;
         }
         let previous = self
             .previous
             .filter(|(name, life)| view.life(name) <= *life);
-        // Clocks agree on the time of day within a bound.
-        let elders_at = now.plus(self.elders.plus(clock_error.times(2.0)).since(wall));
+        let elders_at = now.max(self.elders_at);
         let all_at = match &previous {
             Some(_) => elders_at.max(now.plus(bound)),
             None => elders_at,
@@ -142,11 +158,55 @@
     )
 }
 
-/// Whether a leader that has lost the store may go on answering workers beyond its bound: only when
-/// every other node has just said that it has no store either, so that nobody can take over or
-/// cancel anything.
-pub fn common_outage(peers: usize, say_no_store: usize) -> bool {
-    peers > 0 && say_no_store == peers
+/// Where a leader stands with one other node: which process of it spoke last, up to which entry of
+/// its list of cancellations, and when the last question that it answered in full was asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Heard {
+    cursor: Cursor,
+    complete: Option<Micros>,
+}
+
+/// What every other node has told a leader of the cancellations that it may have confirmed to users.
+///
+/// At each moment at which a leader renews a lease, it has acted on every cancellation that any node
+/// can have confirmed up to [`answer_bound`] earlier. The store's renewal of the hold says so for all
+/// nodes at once, since whatever was confirmed by then is in the records that the leader follows.
+/// Without the store each node has to say it by itself: that a node has no store *now* tells nothing
+/// of what it confirmed since the leader lost its own. So a node's word carries whatever that node
+/// knows beyond the leader's records, and counts from when it was asked. A node that is silent, has
+/// started anew and not read the records since, or is too old to give its word prolongs nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Words(BTreeMap<String, Heard>);
+
+impl Words {
+    /// From where the next word of this node is to go on.
+    pub fn cursor(&self, node: &str) -> Cursor {
+        self.0.get(node).map_or(Cursor::default(), |h| h.cursor)
+    }
+
+    /// A word in answer to a question of the time `asked`. The cancellations in it must have been
+    /// acted on before.
+    pub fn take(&mut self, node: &str, word: &Word, asked: Micros) {
+        let h = self.0.entry(node.to_owned()).or_default();
+        h.cursor = word.upto;
+        if !word.more {
+            h.complete = Some(h.complete.map_or(asked, |old| old.max(asked)));
+        }
+    }
+
+    /// Until when these other nodes' words allow to answer workers. None: one of them gave none.
+    pub fn until<'a>(
+        &self,
+        others: impl Iterator<Item = &'a str>,
+        bound: Micros,
+    ) -> Option<Micros> {
+        let mut oldest: Option<Micros> = None;
+        for node in others {
+            let at = self.0.get(node)?.complete?;
+            oldest = Some(oldest.map_or(at, |o| o.min(at)));
+        }
+        oldest.map(|at| at.plus(bound))
+    }
 }
 
 /// How long a leader may go on answering workers after its last confirmed renewal. A cancelled
--- a/crates/saltpitch-core/src/records.rs
+++ b/crates/saltpitch-core/src/records.rs
@@ -231,6 +231,84 @@
     }
 }
 
+/// A place in a node's list of cancellations: the process that keeps the list, and how many of its
+/// entries are known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cursor {
+    pub process: u64,
+    pub entries: u64,
+}
+
+/// A node's word to a leader that has no store: the jobs that are cancelled as far as this node knows
+/// and that the leader's records don't show, in pages.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Word {
+    pub upto: Cursor,
+    pub more: bool,
+    pub cancelled: Vec<String>,
+}
+
+/// Cancellations in the order in which a node learned of them, which need not be that of their
+/// revisions. Bounded: the oldest fall out, and a leader whose records are older than those gets no
+/// word.
+#[derive(Clone, Debug, Default)]
+pub struct Cancellations {
+    first: u64,
+    list: VecDeque<(u64, String)>,
+    forgotten: u64,
+}
+
+/// The most cancellations that a node remembers for a leader without the store, and the most that
+/// one word carries.
+const MAX_CANCELLATIONS: usize = 10_000;
+const WORD: usize = 1_000;
+
+impl Cancellations {
+    fn note(&mut self, rev: u64, id: &str) {
+        self.list.push_back((rev, id.to_owned()));
+    }
+
+    /// Forgets what is above the bound.
+    pub fn trim(&mut self) {
+        while self.list.len() > MAX_CANCELLATIONS {
+            if let Some((rev, _)) = self.list.pop_front() {
+                self.first += 1;
+                self.forgotten = self.forgotten.max(rev);
+            }
+        }
+    }
+
+    /// What a leader with records as of `rev` has not seen, from `cursor` on. None: too much was
+    /// forgotten to say.
+    pub fn word(&self, process: u64, rev: u64, cursor: Cursor) -> Option<Word> {
+        if rev < self.forgotten {
+            return None;
+        }
+        let known = if cursor.process == process {
+            cursor.entries
+        } else {
+            0
+        };
+        let skip = known.saturating_sub(self.first) as usize;
+        let mut entries = self.first.max(known);
+        let mut cancelled = Vec::new();
+        for (at, id) in self.list.iter().skip(skip) {
+            if cancelled.len() >= WORD {
+                break;
+            }
+            entries += 1;
+            if *at > rev {
+                cancelled.push(id.clone());
+            }
+        }
+        Some(Word {
+            upto: Cursor { process, entries },
+            more: entries < self.first + self.list.len() as u64,
+            cancelled,
+        })
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct JobEntry {
     pub rev: u64,
@@ -268,6 +346,7 @@
     pub leader: Option<(u64, LeaderRecord)>,
     pub catalog: Option<(u64, Arc<Catalog>)>,
     pub gone: Gone,
+    pub cancellations: Cancellations,
     /// A record of an earlier version's layout was seen: this one must not lead on half the truth.
     pub old_layout: bool,
 }
@@ -317,6 +396,10 @@
                 if record.spec.is_none() {
                     self.tasks.remove(id);
                 }
+                let was = self.jobs.get(id).map(|j| j.record.state);
+                if record.state == JobState::Cancelled && was != Some(JobState::Cancelled) {
+                    self.cancellations.note(rev, id);
+                }
                 self.jobs.insert(id.to_owned(), JobEntry { rev, record });
                 Ok(Change::Job(id.to_owned()))
             }
@@ -466,6 +549,18 @@
     /// does not have is gone as well.
     pub fn succeed(&mut self, old: View) {
         self.gone = old.gone;
+        // The list that leaders have been told from goes on: what the older copy had is in it.
+        let new = std::mem::replace(&mut self.cancellations, old.cancellations);
+        let mut new: Vec<(u64, String)> = new.list.into_iter().collect();
+        // Read in the order of keys: of a long history the newest are kept.
+        new.sort_unstable();
+        for (rev, id) in new {
+            let knew = old.jobs.get(&id).map(|j| j.record.state);
+            if knew != Some(JobState::Cancelled) {
+                self.cancellations.note(rev, &id);
+            }
+        }
+        self.cancellations.trim();
         let here: HashSet<&str> = (self.blocks.values())
             .flat_map(|b| b.1.machines.iter().map(|m| m.0.as_str()))
             .collect();
@@ -476,6 +571,11 @@
         }
     }
 
+    /// A job's state on record.
+    pub fn state(&self, id: &str) -> Option<JobState> {
+        self.jobs.get(id).map(|j| j.record.state)
+    }
+
     /// The highest life known of a node.
     pub fn life(&self, node: &str) -> u64 {
         self.nodes.get(node).map_or(0, |n| n.1.life)
--- a/crates/saltpitch/src/lead.rs
+++ b/crates/saltpitch/src/lead.rs
@@ -8,7 +8,7 @@
 use rand::Rng;
 use saltpitch_core::cluster::Order;
 use saltpitch_core::leader::{Effect, Leader, ListedMachine, Ordered, Outcome, Write};
-use saltpitch_core::leadership::{self, answer_bound, election_delay, Bid, Hearing, HOLD};
+use saltpitch_core::leadership::{self, answer_bound, election_delay, Bid, Hearing, Words, HOLD};
 use saltpitch_core::records::{TermRecord, LEADER_KEY, TERM_KEY};
 use saltpitch_core::Micros;
 
@@ -23,8 +23,10 @@
     hold: Option<u64>,
     /// Counts offices held, so that late answers are not given to a later one.
     pub epoch: u64,
-    /// Until when workers may be answered without another renewal.
-    answers_until: Micros,
+    /// Until when workers may be answered without another renewal or other nodes' words.
+    pub answers_until: Micros,
+    /// What the other nodes have told this leader of cancellations.
+    pub words: Words,
     /// The leader before, as long as it is not proven gone.
     pub previous: Option<(String, u64)>,
     /// From then on, the leaders before that one answer nobody.
@@ -55,7 +57,7 @@
     }
 }
 
-fn bound(node: &Node) -> Micros {
+pub fn bound(node: &Node) -> Micros {
     answer_bound(node.settings.workers.cancel, node.settings.workers.lease)
 }
 
@@ -108,22 +110,8 @@
     match answer {
         Some(true) => i.office.answers_until = sent.plus(bound(node)),
         Some(false) => i.office.depose("the hold has ended"),
-        None => {
-            // When no peer has the store either, nobody can take over or cancel anything: the
-            // workers' leases are kept alive.
-            let now = node.now();
-            let peers = &node.settings.peers;
-            let say_no_store = peers.iter().filter(|p| {
-                i.peers.get(&p.node).is_some_and(|x| {
-                    !x.had_store && x.answered_within(Micros::from_millis(2_500), now)
-                })
-            });
-            let common = leadership::common_outage(peers.len(), say_no_store.count());
-            if common && i.office.leader.is_some() {
-                let until = now.plus(Micros::from_secs(3));
-                i.office.answers_until = i.office.answers_until.max(until);
-            }
-        }
+        // Without the store the other nodes' words decide, see `Node::met_peer`.
+        None => {}
     }
 }
 
@@ -196,7 +184,7 @@
     let bid = {
         let i = node.lock();
         let (me, wall) = (&node.settings.node, node.clock.wall());
-        leadership::bid(&i.view, me, i.life, bound(node), wall)
+        leadership::bid(&i.view, me, i.life, bound(node), wall, i.term_seen)
     };
     let Some(bid) = bid else {
         node.store.drop_hold(hold).await;
@@ -228,8 +216,7 @@
         return false;
     };
     let term = bid.term;
-    let error = node.settings.clock_error;
-    let Some(silence) = bid.won(&i.view, rev, bound(node), error, now, wall) else {
+    let Some(silence) = bid.won(&i.view, rev, bound(node), now) else {
         return false;
     };
     let leader = Leader::new(
@@ -245,6 +232,7 @@
     i.office.hold = Some(hold);
     i.office.epoch += 1;
     i.office.answers_until = opened.plus(bound(node));
+    i.office.words = Words::default();
     i.office.previous = silence.previous;
     i.office.elders_silent_at = silence.elders_at;
     i.office.deaf_since = None;
--- a/crates/saltpitch/src/peer.rs
+++ b/crates/saltpitch/src/peer.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
+use saltpitch_core::records::{Cursor, Word};
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -15,6 +16,11 @@
 
 const MAX_FRAME: usize = 128 * 1024;
 const MAX_CONNS: usize = 64;
+/// From 1 on a node gives its word on cancellations, and goes by that of others.
+pub const VERSION: u32 = 1;
+
+#[cfg(test)]
+mod tests;
 
 /// What a node tells of itself.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -28,6 +34,16 @@
     pub store_up: bool,
     /// Workers that knocked here lately and were sent on.
     pub knocks: u32,
+    /// What this node understands, see [`VERSION`]; the first version says nothing.
+    #[serde(default)]
+    pub version: u32,
+    /// A leader asks for the peer's [`Word`]: the revision of its records, and where the last word of
+    /// that peer ended. Left out otherwise.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub asks: Option<(u64, Cursor)>,
+    /// The answer to that.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub word: Option<Word>,
 }
 
 /// A user's request, passed on by a node that has no store.
@@ -55,6 +71,12 @@
     Unable,
 }
 
+/// Frames name their fields: a peer of another version passes over those that it does not know, and
+/// reads those of the first version, which go by position, as well.
+pub fn encode<T: Serialize>(message: &T) -> Option<Vec<u8>> {
+    rmp_serde::to_vec_named(message).ok()
+}
+
 type Link = Framed<TcpStream, LengthDelimitedCodec>;
 
 fn codec() -> LengthDelimitedCodec {
@@ -70,7 +92,7 @@
 impl Links {
     /// One question and its answer. None: no answer in time.
     pub async fn ask(&self, addr: SocketAddr, q: &Ask, limit: Duration) -> Option<Say> {
-        let frame = rmp_serde::to_vec(q).ok()?;
+        let frame = encode(q)?;
         let kept = {
             let mut all = self.0.lock().unwrap_or_else(|e| e.into_inner());
             all.get_mut(&addr).and_then(Vec::pop)
@@ -128,8 +150,9 @@
                 };
                 let say = match ask {
                     Ask::Hello(h) => {
+                        let (asks, version) = (h.asks, h.version);
                         node.met_peer(h, None);
-                        Say::Hello(node.hello())
+                        Say::Hello(node.answer(asks, version))
                     }
                     Ask::User(op) => match node.user_op(op, false).await {
                         Some((status, body)) => Say::User {
@@ -139,7 +162,7 @@
                         None => Say::Unable,
                     },
                 };
-                let Ok(bytes) = rmp_serde::to_vec(&say) else {
+                let Some(bytes) = encode(&say) else {
                     return;
                 };
                 let sent =
--- a/crates/saltpitch/src/settings.rs
+++ b/crates/saltpitch/src/settings.rs
@@ -32,7 +32,6 @@
     pub store: StoreLimits,
     pub cloud_rps: f64,
     pub list_lag: Micros,
-    pub clock_error: Micros,
     pub sockets: usize,
     pub objectives: Vec<Objective>,
     pub guarantee_within: Micros,
@@ -154,8 +153,9 @@
             sockets: f.number("cluster.limits.sockets", 32.0, 1e7)? as usize,
             guarantee_within: guarantee(&f),
             policy: Policy::default(),
-            clock_error: Micros::from_secs_f64(f.number("cluster.clock_error_ms", 0.0, 1e6)? / 1e3),
         };
+        // Nothing that is promised rests on the time of day; what the file says is checked all the same.
+        f.number("cluster.clock_error_ms", 0.0, 1e6)?;
         if s.workers.cancel <= s.workers.lease {
             bail!("settings: field `cluster.workers.cancel_s` must exceed `lease_s`");
         }
--- a/crates/saltpitch/src/store.rs
+++ b/crates/saltpitch/src/store.rs
@@ -100,6 +100,11 @@
         *slot.lock().unwrap_or_else(|e| e.into_inner()) = Some(self.clock.now());
     }
 
+    /// When it last served this node.
+    pub fn last_ok(&self) -> Option<Micros> {
+        *self.ok_at.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     /// Whether it served this node at its last word, which is not older than `within`.
     pub fn is_up(&self, within: Micros) -> bool {
         let ok = *self.ok_at.lock().unwrap_or_else(|e| e.into_inner());
