--- a/crates/saltpitch-testkit/src/rules.rs
+++ b/crates/saltpitch-testkit/src/rules.rs
@@ -30,7 +30,7 @@
             let sum = used.entry(&job.spec.team).or_default();
             *sum = sum.plus(&job.spec.need);
             if let Some(at) = job.cancelled_at {
-                // A machine that hangs runs nothing, and its lease ends it before it resumes.
+                // On a machine that hangs as well: it may go on with it.
                 if w.now.since(at) > w.times.cancel {
                     return Err(format!(
                         "ran_cancelled: {}/{} on {} {:.1} s after",
@@ -43,6 +43,9 @@
             }
         }
     }
+    if let Some(what) = &w.started_late {
+        return Err(format!("ran_cancelled: {what} started after its time"));
+    }
     for t in &w.teams {
         if let Some(sum) = used.get(t.name.as_str()) {
             if !t.allows(sum) {
@@ -54,6 +57,9 @@
     outcomes(w)
 }
 
+/// How long, in calm, a job may wait beside a machine that has room for it.
+pub const WAIT: Micros = Micros::from_secs(90);
+
 /// How soon the largest jobs have to begin.
 pub const BEGIN: Micros = Micros::from_secs(240);
 
@@ -123,6 +129,15 @@
 fn outcomes(w: &World) -> Result<(), String> {
     for (id, job) in &w.jobs {
         // Once all troubles are over, every node answers questions about every accepted job.
+        if job.accepted && job.spec.can_ever_run(w.catalog(), &w.teams).is_err() {
+            return Err(format!("accepted: {id} can never run"));
+        }
+        if let Some(since) = job.waits_since {
+            let waited = w.now.since(since.max(w.still_since));
+            if waited > WAIT {
+                return Err(format!("waits: {id} beside room that fits"));
+            }
+        }
         if job.accepted {
             for (n, at) in job.answered.iter().enumerate() {
                 let unanswered = w.now.since((*at).max(w.calm_since));
--- a/crates/saltpitch-testkit/src/workers.rs
+++ b/crates/saltpitch-testkit/src/workers.rs
@@ -43,6 +43,8 @@
     pub hung_until: Micros,
     /// Until then its reports go out, and nothing reaches it.
     pub deaf_until: Micros,
+    /// Until then it opens no connection to any controller, while direct commands reach it.
+    pub mute_until: Micros,
     pub session: u64,
     pub seq: u64,
     pub token: u64,
@@ -64,6 +66,11 @@
 
     pub fn report(&mut self) -> Report {
         self.seq += 1;
+        self.copy()
+    }
+
+    /// A copy of the newest report.
+    pub fn copy(&self) -> Report {
         Report {
             machine: self.name.clone(),
             addr: self.name.clone(),
--- a/crates/saltpitch/tests/end_to_end.rs
+++ b/crates/saltpitch/tests/end_to_end.rs
@@ -254,6 +254,7 @@
             gone: false,
             hung_until: Micros::ZERO,
             deaf_until: Micros::ZERO,
+            mute_until: Micros::ZERO,
             session: 1,
             seq: 0,
             token: 0,
