--- a/crates/saltpitch-testkit/src/world.rs
+++ b/crates/saltpitch-testkit/src/world.rs
@@ -403,7 +403,7 @@
             // An array waits for each task by itself; the others for all that is missing.
             let want = if j.spec.kind == Kind::Array { 1 } else { left };
             // Where it may run depends on where the rest of it is: judged only where it does not.
-            let simple = !j.spec.spread && !(j.spec.one_zone && there > 0);
+            let simple = !(j.spec.spread || j.spec.one_zone && there > 0);
             let team = self.teams.iter().find(|t| t.name == j.spec.team);
             let sum = used.get(j.spec.team.as_str()).copied().unwrap_or_default();
             let allowed = team.is_some_and(|t| t.more(&sum, &j.spec.need) >= u64::from(want));
