--- a/crates/saltpitch-core/src/cluster.rs
+++ b/crates/saltpitch-core/src/cluster.rs
@@ -141,6 +141,10 @@
     pub steady_cpu: u64,
     /// Not heard of for so long that nothing new is placed on it.
     pub silent: bool,
+    /// Its reports have not come for a while although it answers direct calls: its lease runs on to its
+    /// end, so nothing new is placed on it; `drained`: what can be moved was told to go.
+    pub mute: bool,
+    pub drained: bool,
     /// Signs that our answers don't reach it although its reports reach us.
     pub deaf: Deaf,
     /// When it is looked after next.
@@ -295,6 +299,8 @@
             indexed: Indexed::default(),
             steady_cpu: 0,
             silent: false,
+            mute: false,
+            drained: false,
             deaf: Deaf::default(),
             look_at: Micros::ZERO,
             block: None,
@@ -325,6 +331,7 @@
             && !self.condemned
             && self.notice.is_none()
             && !self.silent
+            && !self.mute
             && !self.deaf.suspected()
             && !self.has_live_strays()
     }
--- a/crates/saltpitch-core/src/leader/evidence.rs
+++ b/crates/saltpitch-core/src/leader/evidence.rs
@@ -84,6 +84,8 @@
             return Err(Ignored::Repeated);
         }
         m.last_answer = m.last_answer.max(now);
+        (m.mute, m.drained) = (false, false);
+        self.last_report = now;
         let token = r.token;
         // Its sequence number counts reports to any node.
         let stays = self.cfg.nodes > 1 && session == m.session && seq == m.seq + 1;
@@ -357,12 +359,25 @@
                     job.not_before = now.plus(Micros::from_secs(wait));
                 }
                 let fails_everywhere = job.avoid.len() >= 3;
-                if let Some(m) = self.machines.get_mut(machine) {
-                    if !fails_everywhere {
+                // Where it failed before was not the machines' fault then.
+                let blamed: Vec<Arc<str>> = if fails_everywhere {
+                    job.avoid.keys().cloned().collect()
+                } else {
+                    vec![machine.clone()]
+                };
+                for name in blamed {
+                    let Some(m) = self.machines.get_mut(&name) else {
+                        continue;
+                    };
+                    let was = m.strikes.len() >= 2;
+                    if fails_everywhere {
+                        m.strikes.remove(&no);
+                    } else {
                         m.strikes.insert(no);
                     }
-                    if m.strikes.len() >= 2 {
-                        m.condemned = true;
+                    if was != (m.strikes.len() >= 2) {
+                        m.condemned = !was;
+                        self.reindex(&name);
                     }
                 }
             }
@@ -414,6 +429,13 @@
             return;
         };
         let left = m.notice.map_or(Micros::ZERO, |n| n.since(now));
+        self.drain_within(name, left, now);
+    }
+
+    fn drain_within(&mut self, name: &Arc<str>, left: Micros, now: Micros) {
+        let Some(m) = self.machines.get(name) else {
+            return;
+        };
         let held: Vec<(JobNo, u32)> = m.holds.iter().copied().collect();
         for (no, task) in held {
             let Some(job) = self.jobs.get(&no) else {
@@ -713,6 +735,7 @@
             self.reindex(name);
         }
         let end = self.lease_end(name, over, now);
+        self.look_for_mute(name, end, now);
         if waits || deaf || unanswered || long {
             return soon;
         }
@@ -727,6 +750,40 @@
         next.min(end)
     }
 
+    /// A machine that reaches no controller answers direct calls: what it shows is true, but its lease
+    /// is not renewed, and all that is on it ends with that. Nothing new goes there, and what can save
+    /// or loses nothing is moved while there is time. Only as long as others do report: otherwise it is
+    /// this node that is not reached.
+    fn look_for_mute(&mut self, name: &Arc<str>, lease_end: Micros, now: Micros) {
+        let (report, lease) = (self.cfg.report, self.cfg.lease);
+        let others = now.since(self.last_report) < report.times(1.5);
+        let awake = self.awake_since;
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        if m.phase != Phase::Up || m.silent || !others {
+            return;
+        }
+        let wait = if m.last_answer > Micros::ZERO {
+            report.times(1.8)
+        } else {
+            report.times(2.5).plus(Micros::from_secs(1))
+        };
+        let quiet = now.since(m.last_answer.max(m.up_since).max(awake));
+        if quiet <= wait {
+            return;
+        }
+        let news = !std::mem::replace(&mut m.mute, true);
+        let late = quiet > lease.times(0.55) && m.deaf.since.is_none();
+        let drains = late && !std::mem::replace(&mut m.drained, true);
+        if news {
+            self.reindex(name);
+        }
+        if drains {
+            self.drain_within(name, lease_end.since(now), now);
+        }
+    }
+
     /// When the worker's lease is over at the latest: counted from our last answer, or from when
     /// the leader before us could have given one. If it is, everything on it is gone.
     fn lease_end(&self, name: &Arc<str>, over: &mut Vec<Arc<str>>, now: Micros) -> Micros {
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -279,6 +279,8 @@
     probes_out: usize,
     /// When a machine was last heard.
     last_heard: Micros,
+    /// When a machine last reported.
+    last_report: Micros,
     schedule_wanted: bool,
     /// Teams of which, in this pass, the rest of the limit is kept for a starved gang: of the
     /// accelerators alone, or of everything.
@@ -373,6 +375,7 @@
             orders_out: 0,
             probes_out: 0,
             last_heard: Micros::ZERO,
+            last_report: Micros::ZERO,
             schedule_wanted: true,
             kept_for: Vec::new(),
             waited_at: now,
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -23,6 +23,8 @@
 const STARVED: Micros = Micros::from_secs(140);
 /// The same for those that are not large for their class: once late, they are not pressing.
 const STARVED_SMALL: Micros = Micros::from_secs(300);
+/// A job of which nothing runs takes any room that fits after this.
+const STUCK: Micros = Micros::from_secs(60);
 /// Gangs are served in this order of the time left to them.
 const SLOT: Micros = Micros::from_secs(10);
 /// Gangs take their whole room at once, and come before everything of their team but production.
@@ -186,6 +188,12 @@
             && (!self.contested_for(spec, size) || (spec.kind == Kind::Array && spec.saves()))
     }
 
+    /// Nothing of this job runs and nothing was placed for long: it may have whatever fits. No job is
+    /// to wait beside a machine with room, be it one that is kept for others.
+    fn stuck(&self, job: &Job, now: Micros) -> bool {
+        job.placed == 0 && now.since(job.served_at.max(job.submitted)) > STUCK
+    }
+
     pub(super) fn schedule(&mut self, now: Micros) {
         self.loosen(now);
         self.searches = SEARCHES;
@@ -320,15 +328,17 @@
         want: u64,
         now: Micros,
     ) -> Vec<Arc<str>> {
-        let Some(spec) = self.jobs.get(&no).map(|j| j.spec.clone()) else {
+        let Some(job) = self.jobs.get(&no) else {
             return Vec::new();
         };
+        let stuck = self.stuck(job, now);
+        let spec = job.spec.clone();
         let limit = LOOKS + want.min(1_000) as usize;
         let mut found = Vec::new();
         for g in 0..self.fleet.groups.len() {
             let group = &self.fleet.groups[g];
             if zone.is_some_and(|z| z != &*group.zone)
-                || !self.ever_suits(&spec, &group.kind.size)
+                || !(stuck || self.ever_suits(&spec, &group.kind.size))
                 || !spec.allows(&group.kind.name, &group.zone, group.spot)
             {
                 continue;
@@ -361,7 +371,7 @@
                     }
                 }
                 let avoided = job.avoid.get(&name).is_some_and(|until| *until > now);
-                (!avoided && self.may_borrow(&spec, m, now))
+                (!avoided && (stuck || self.may_borrow(&spec, m, now)))
                     .then(|| (placement::score(&spec, m), name))
             })
             .collect();
@@ -389,6 +399,8 @@
         if more == 0 {
             return 0;
         }
+        // Beside what suits it, an array that is stuck takes room for a single task of it.
+        let single = spec.kind == Kind::Array && self.stuck(job, now);
         for name in self.candidates(no, None, more, now) {
             while more > 0 {
                 let (Some(job), Some(m)) = (self.jobs.get(&no), self.machines.get(&name)) else {
@@ -400,6 +412,10 @@
                 if !spec.need.fits(&m.free()) || !Self::zone_allows(job, &m.zone) {
                     break;
                 }
+                let suits = self.ever_suits(&spec, &m.kind.size) && self.may_borrow(&spec, m, now);
+                if single && !suits && job.placed > 0 {
+                    break;
+                }
                 let (session, attempt) = (m.session, job.next_attempt(task));
                 self.hold(no, task, name.clone(), session, attempt, false, now);
                 self.dirty.placement(no, task, &spec, now);
