--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -6,9 +6,11 @@
 mod commit;
 mod consolidate;
 mod evidence;
+mod jobs;
 mod pipeline;
 mod rules;
 mod schedule;
+mod watch;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -20,7 +22,7 @@
 use crate::job::{JobSpec, JobState, Kind, Priority};
 use crate::policy::Policy;
 use crate::quota::{Quota, TeamLimits};
-use crate::records::{Gone, View, CHUNK};
+use crate::records::{Gone, View};
 use crate::time::Micros;
 
 pub use capacity::{Refusal, Rented};
@@ -503,222 +505,6 @@
         self.old_silent_at = self.old_silent_at.min(silent_at);
     }
 
-    /// Another node's word: this job is cancelled, although the records that this node has don't show
-    /// it. What runs is stopped and nothing more is placed; the record catches up later.
-    pub fn called_off(&mut self, id: &str, now: Micros) {
-        match self.by_id.get(id) {
-            Some(&no) => {
-                let Some(job) = self.jobs.get_mut(&no) else {
-                    return;
-                };
-                if job.state == JobState::Active {
-                    job.state = JobState::Cancelled;
-                    self.cancel(no, now);
-                }
-            }
-            // Accepted and cancelled since this node read the records last.
-            None => {
-                self.called_off.insert(id.to_owned());
-            }
-        }
-    }
-
-    /// A job's record appeared or changed.
-    pub fn job_changed(&mut self, view: &View, id: &str, now: Micros, wall: Micros) {
-        let Some(entry) = view.jobs.get(id) else {
-            return;
-        };
-        match entry.record.state {
-            JobState::Done => {
-                let at = entry.record.finished.map(|f| now.since(wall.since(f)));
-                self.need_met(id, at.unwrap_or(now), now);
-            }
-            JobState::Cancelled => self.need_cancelled(id, now),
-            JobState::Active => {}
-        }
-        if let Some(&no) = self.by_id.get(id) {
-            let Some(job) = self.jobs.get_mut(&no) else {
-                return;
-            };
-            if entry.rev <= job.rev {
-                return;
-            }
-            job.rev = entry.rev;
-            if entry.record.state == JobState::Cancelled && job.state == JobState::Active {
-                job.state = JobState::Cancelled;
-                self.cancel(no, now);
-            }
-            return;
-        }
-        let Some(spec) = entry.record.spec.clone() else {
-            return;
-        };
-        // The outcome of a job without tasks on machines is final as it stands.
-        if entry.record.state == JobState::Done {
-            return;
-        }
-        let off = self.called_off.remove(id) || view.state(id) == Some(JobState::Cancelled);
-        let state = if off {
-            JobState::Cancelled
-        } else {
-            entry.record.state
-        };
-        let n = spec.tasks as usize;
-        let no = self.next_job;
-        self.next_job += 1;
-        let class = self.class(&spec.class);
-        let c = &mut self.classes[class];
-        let weight = if c.mean_tasks > 0.0 { 0.03 } else { 1.0 };
-        c.mean_tasks += (f64::from(spec.tasks) - c.mean_tasks) * weight;
-        let mut job = Job {
-            class,
-            team: self.quota.number(&spec.team),
-            id: id.into(),
-            rev: entry.rev,
-            state,
-            submitted: now.since(wall.since(entry.record.submitted)),
-            queued: now.since(wall.since(entry.record.submitted)),
-            unmet: BTreeSet::new(),
-            priority: spec.priority,
-            due: None,
-            done_at: None,
-            tasks: vec![Task::default(); n],
-            idle: (0..spec.tasks).collect(),
-            placed: 0,
-            done: 0,
-            chunks: vec![(0, 0); n.div_ceil(CHUNK as usize)],
-            gang: Gang::default(),
-            not_before: Micros::ZERO,
-            parked_at: Micros::ZERO,
-            served_at: Micros::ZERO,
-            avoid: BTreeMap::new(),
-            errors: 0,
-            search_after: Micros::ZERO,
-            room_by: None,
-            started: false,
-            zones: BTreeMap::new(),
-            rank: u8::MAX,
-            spec,
-        };
-        let mut places = Vec::new();
-        for (&c, at) in view.chunks.get(id).into_iter().flatten() {
-            if let Some(slot) = job.chunks.get_mut(c as usize) {
-                *slot = (at.rev, at.upto);
-            }
-        }
-        let known = view.tasks.get(id).map_or(&[][..], |t| &t.tasks);
-        for (i, (t, rec)) in job.tasks.iter_mut().zip(known).enumerate() {
-            t.attempt = rec.attempt;
-            t.done = rec.done;
-            if let Some(place) = &rec.place {
-                places.push((i as u32, place.0.clone(), place.1));
-            }
-        }
-        job.done = job.tasks.iter().filter(|t| t.done).count() as u32;
-        let done: Vec<u32> = (0..n as u32)
-            .filter(|i| job.tasks[*i as usize].done)
-            .collect();
-        for i in done {
-            job.idle.remove(&i);
-        }
-        if job.state == JobState::Active {
-            self.find_needs(&mut job, no, view, now, wall);
-        }
-        let released = job.unmet.is_empty();
-        self.by_id.insert(job.id.clone(), no);
-        self.jobs.insert(no, job);
-        if released {
-            self.enqueue(no, now);
-        }
-        self.carry_back(no);
-        // Those that need it may have been read before it.
-        for d in self.dependents.get(id).cloned().unwrap_or_default() {
-            self.carry_back(d);
-        }
-        let mut lost = false;
-        for (task, machine, session) in places {
-            // A machine's record is written before anything is placed on it and deleted only once
-            // the machine is proven gone: no record, no task.
-            match self.machines.get(machine.as_str()).map(|m| m.name.clone()) {
-                Some(name) if (task as usize) < n => {
-                    let attempt = self.jobs[&no].tasks[task as usize].attempt;
-                    self.hold(no, task, name, session, attempt, true, now);
-                }
-                _ => {
-                    lost = true;
-                    self.dirty.outcome(no, task, now);
-                }
-            }
-        }
-        let Some(job) = self.jobs.get_mut(&no) else {
-            return;
-        };
-        if job.spec.kind == Kind::Gang && job.placed > 0 {
-            job.gang = if lost || job.placed < job.spec.tasks {
-                Gang::Stopping
-            } else {
-                Gang::Allowed
-            };
-            if job.gang == Gang::Stopping {
-                self.stop_all(no, Micros::ZERO, now);
-            }
-        }
-        if self.jobs[&no].state == JobState::Cancelled {
-            self.cancel(no, now);
-        } else {
-            self.check_complete(no);
-        }
-        self.schedule_wanted = true;
-    }
-
-    /// The job was cancelled: whatever was never sent is dropped, the rest is stopped.
-    fn cancel(&mut self, no: JobNo, now: Micros) {
-        self.close(no);
-        self.stop_all(no, Micros::ZERO, now);
-        self.check_complete(no);
-        self.schedule_wanted = true;
-        if let Some(id) = self.jobs.get(&no).map(|j| j.id.clone()) {
-            self.need_cancelled(&id, now);
-        }
-    }
-
-    /// Production jobs come at some rate: what they ask for is kept warm ahead of them.
-    fn note_demand(&mut self, spec: &JobSpec, now: Micros) {
-        if spec.priority == Priority::Production {
-            let more = spec.need.cpu as f64 * f64::from(spec.tasks);
-            self.demand = (self.faded_demand(now) + more, now);
-        }
-    }
-
-    fn faded_demand(&self, now: Micros) -> f64 {
-        let (level, at) = self.demand;
-        level * (-now.since(at).as_secs_f64() / FADE.as_secs_f64()).exp()
-    }
-
-    /// Nothing more of this job is to be placed.
-    fn close(&mut self, no: JobNo) {
-        self.open.remove(&no);
-        if let Some(job) = self.jobs.get_mut(&no) {
-            job.rank = u8::MAX;
-            self.by_age.remove(&(job.queued, no));
-        }
-    }
-
-    /// The class's number in the leader's table.
-    fn class(&mut self, name: &str) -> usize {
-        if let Some(at) = self.classes.iter().position(|c| c.name == name) {
-            return at;
-        }
-        let aims = self.cfg.objectives.iter().filter(|o| o.class == name);
-        self.classes.push(Class {
-            name: name.to_owned(),
-            aims: aims.map(|o| o.aim).collect(),
-            ratio: 1.0,
-            mean_tasks: 0.0,
-        });
-        self.classes.len() - 1
-    }
-
     fn add_machine(&mut self, mut m: Machine) {
         let name = m.name.clone();
         self.fleet.add(&mut m);
--- a/crates/saltpitch-testkit/src/nodes.rs
+++ b/crates/saltpitch-testkit/src/nodes.rs
@@ -17,6 +17,9 @@
     pub up_at: Micros,
     pub life: u64,
     pub announced: bool,
+    /// Runs the version in production: it gives no word on cancellations, asks for none, and writes
+    /// values as large as the store's present limits allow.
+    pub old: bool,
     /// Tells this process from every other.
     pub process: u64,
     /// The records were read since this process started.
@@ -53,6 +56,7 @@
             up_at: Micros::ZERO,
             life: 1,
             announced: false,
+            old: false,
             process: 0,
             synced: false,
             view: View::default(),
@@ -99,8 +103,10 @@
         let epoch = self.epoch + 1;
         let (store, workers) = (self.no_store_until, self.no_workers_until);
         let (process, peers) = (self.process + 1, self.no_peers_until);
+        let old = self.old;
         *self = Node {
             epoch,
+            old,
             process,
             no_peers_until: peers,
             up_at,
@@ -224,7 +230,8 @@
     /// What this node tells a leader whose records are as of `rev`: the term that it knows, and its
     /// word, if it can give one.
     pub fn word(&self, rev: u64, at: Cursor) -> (u64, Option<Word>) {
-        let word = (self.synced).then(|| self.view.cancellations.word(self.process, rev, at));
+        let word =
+            (self.synced && !self.old).then(|| self.view.cancellations.word(self.process, rev, at));
         (self.view.term.1.term, word.flatten())
     }
 
--- a/crates/saltpitch-testkit/src/store.rs
+++ b/crates/saltpitch-testkit/src/store.rs
@@ -22,6 +22,13 @@
     holds: BTreeMap<u64, (Micros, Micros)>,
     next_hold: u64,
     pub down: bool,
+    /// The most bytes of a value and writes of a transaction, and changes a second, once the store has
+    /// its next limits.
+    pub limits: Option<(usize, usize, u32)>,
+    taken: (u64, u32),
+    now: Micros,
+    /// Transactions turned down for their size.
+    pub rejected: u64,
 }
 
 impl Store {
@@ -55,6 +62,21 @@
         if self.down {
             return Outcome::Refused;
         }
+        if let Some((bytes, ops, rate)) = self.limits {
+            let large = |w: &Write| w.value.as_ref().is_some_and(|v| v.len() > bytes);
+            if writes.len() > ops || when.len() > 4 * ops || writes.iter().any(large) {
+                self.rejected += 1;
+                return Outcome::Rejected;
+            }
+            let second = self.now.0 / 1_000_000;
+            if self.taken.0 != second {
+                self.taken = (second, 0);
+            }
+            if self.taken.1 + writes.len() as u32 > rate {
+                return Outcome::Throttled;
+            }
+            self.taken.1 += writes.len() as u32;
+        }
         if hold.is_some_and(|h| !self.holds.contains_key(&h.0)) {
             return Outcome::Refused;
         }
@@ -100,6 +122,7 @@
 
     /// Ends holds that are over. After an outage every hold has its full time again.
     pub fn tick(&mut self, now: Micros) {
+        self.now = now;
         if self.down {
             for h in self.holds.values_mut() {
                 h.0 = now.plus(h.1);
--- a/crates/saltpitch-testkit/src/world.rs
+++ b/crates/saltpitch-testkit/src/world.rs
@@ -134,6 +134,8 @@
     pub apart_until: Micros,
     /// Until then no transaction of a leader is answered, and each is carried out later.
     pub late_writes_until: Micros,
+    /// The store's next limits, as the settings give them.
+    pub next_limits: Option<(usize, usize, u32)>,
     /// Until then every message takes a fifth of a second to more than a second.
     pub slow_links_until: Micros,
     /// The first task that started before all jobs that its job needs were done.
@@ -240,6 +242,7 @@
             returned_alive: 0,
             late_writes_until: Micros::ZERO,
             slow_links_until: Micros::ZERO,
+            next_limits: None,
             started_late: None,
             too_early: None,
             calm_since: Micros::ZERO,
@@ -589,7 +592,9 @@
         if let Some(hold) = self.nodes[n].hold {
             if now.0 % 600_000 < TICK.0 {
                 self.renew(n, hold, reaches);
-                self.ask_words(n);
+                if !self.nodes[n].old {
+                    self.ask_words(n);
+                }
             }
             if self.deaf(n) {
                 self.resign(n, reaches);
@@ -613,7 +618,7 @@
         if std::mem::replace(&mut self.nodes[n].bidding, true) {
             return;
         }
-        let cfg = self.cfg.clone();
+        let cfg = self.cfg_of(n);
         let now = self.now;
         let (life, epoch) = (self.nodes[n].life, self.nodes[n].epoch);
         let Some((bid, hold)) = self.nodes[n].bid(&mut self.store, &cfg, now) else {
@@ -645,7 +650,7 @@
                 let reaches = w.nodes[n].reaches_store(&w.store, w.now);
                 match done {
                     Outcome::Done(rev) if !lost && reaches => {
-                        let (now, cfg, catalog) = (w.now, w.cfg.clone(), w.catalog.clone());
+                        let (now, cfg, catalog) = (w.now, w.cfg_of(n), w.catalog.clone());
                         w.nodes[n].follow(&w.store, now);
                         if !w.nodes[n].begin(bid, hold, rev, &cfg, &catalog, now) {
                             w.store.drop_hold(hold);
@@ -658,6 +663,17 @@
         });
     }
 
+    /// What a node's version makes of the settings.
+    fn cfg_of(&self, n: usize) -> Config {
+        let mut cfg = self.cfg.clone();
+        if let Some((bytes, ops, rate)) = self.next_limits.filter(|_| !self.nodes[n].old) {
+            cfg.value_bytes = cfg.value_bytes.min(bytes);
+            cfg.txn_ops = cfg.txn_ops.min(ops);
+            cfg.next_write_rate = f64::from(rate) * 0.7;
+        }
+        cfg
+    }
+
     fn renew(&mut self, n: usize, hold: u64, reaches: bool) {
         let answer = if reaches {
             self.store.touch(hold, self.now)
--- a/crates/saltpitch/src/wire/users/tests.rs
+++ b/crates/saltpitch/src/wire/users/tests.rs
@@ -116,3 +116,48 @@
     }
     assert_eq!(id_of(&good()).ok(), Some("job-000412"));
 }
+
+#[test]
+fn waits_on_holds_job_ids_or_is_left_out() {
+    let with = |needs: Value| {
+        let mut body = good();
+        body["waits_on"] = needs;
+        submission(&body)
+    };
+    for none in [json!(null), json!([])] {
+        assert!(with(none).expect("accepted").needs.is_empty());
+    }
+    // Named twice is named.
+    let two = with(json!(["job-000405", "job-000398", "job-000405"])).expect("accepted");
+    assert_eq!(two.needs, ["job-000398", "job-000405"]);
+    for bad in [
+        json!("job-000398"),
+        json!(7),
+        json!(true),
+        json!({"job-000398": 1}),
+        json!([7]),
+        json!([null]),
+        json!([["job-000398"]]),
+        json!(["job-000398", "task-1"]),
+        json!(["job-"]),
+        json!([""]),
+        json!(["job-000398/0"]),
+    ] {
+        let reason = with(bad.clone()).expect_err("refused");
+        assert!(reason.contains("waits_on"), "{bad}: {reason}");
+    }
+    let many = |n: usize| {
+        (0..n)
+            .map(|i| json!(format!("job-{i:06}")))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(
+        with(json!(many(MAX_NEEDS))).map(|s| s.needs.len()),
+        Ok(MAX_NEEDS)
+    );
+    assert!(with(json!(many(MAX_NEEDS + 1))).is_err());
+    // The bound lies within what a body may hold.
+    let mut body = good();
+    body["waits_on"] = json!(many(MAX_NEEDS));
+    assert!(body.to_string().len() < crate::wire::MAX_BODY);
+}
