--- a/crates/saltpitch-testkit/tests/meetings.rs
+++ b/crates/saltpitch-testkit/tests/meetings.rs
@@ -272,6 +272,26 @@
     }
 }
 
+/// The same, and the leader ends some time after: what the late ones did to the records is what the next
+/// one goes by.
+#[test]
+fn a_leader_ends_after_its_writes_came_late() {
+    for seed in 400..424 {
+        let (mut w, _, leader) = at_work(seed, 2);
+        w.late_writes_until = w.now.plus(secs(5));
+        for round in 0..5 {
+            stir(&mut w, seed, round);
+            let spec = plain(&mut w, Kind::Array, 3, 40);
+            w.submit(&format!("job-9{seed:03}{round}0"), spec);
+            run(&mut w, seed, 41 + round);
+        }
+        run(&mut w, seed, 47 + seed % 14);
+        w.crash_for(leader, secs(5));
+        run(&mut w, seed, 900);
+        all_over(&w, seed);
+    }
+}
+
 /// The leader has its workers and nobody else; another takes over and users cancel through that one.
 #[test]
 fn a_leader_without_store_and_peers_while_jobs_are_cancelled_through_the_new_one() {
@@ -344,6 +364,38 @@
     }
 }
 
+/// Direct orders that stay without an answer and are carried out up to twenty seconds later, starts of
+/// jobs that are cancelled meanwhile among them.
+#[test]
+fn direct_orders_are_carried_out_long_after_they_were_given_up() {
+    for seed in 430..446 {
+        let losses = Faults {
+            losses: true,
+            ..Faults::default()
+        };
+        let mut w = World::new(seed, losses, Micros::ZERO);
+        run(&mut w, seed, 5);
+        for t in 0..30u64 {
+            let id = format!("job-{seed:03}{t:02}0");
+            let kind = if t % 4 == 0 { Kind::Gang } else { Kind::Array };
+            let spec = plain(&mut w, kind, 2, 8);
+            w.submit(&id, spec);
+            run(&mut w, seed, 6 + t * 2);
+            if t % 2 == 0 {
+                w.cancel(&id);
+            }
+            if t % 10 == 9 {
+                if let Some(m) = w.workers.values_mut().find(|m| !m.gone) {
+                    m.hung_until = w.now.plus(secs(5));
+                }
+            }
+        }
+        w.heal();
+        run(&mut w, seed, 600);
+        all_over(&w, seed);
+    }
+}
+
 /// The store answers slowly, then refuses the leader alone, then all, while users cancel and ask.
 #[test]
 fn the_store_is_slow_then_refuses_the_leader_then_everybody() {
--- a/crates/saltpitch/src/main.rs
+++ b/crates/saltpitch/src/main.rs
@@ -74,6 +74,7 @@
                 s.teams.len(),
                 s.zones.len()
             );
+            println!("store: {}", s.store);
             Ok(())
         }
         Command::Serve { config, policy } => {
--- a/crates/saltpitch/src/settings.rs
+++ b/crates/saltpitch/src/settings.rs
@@ -68,6 +68,21 @@
     pub next_write_rps: f64,
 }
 
+impl std::fmt::Display for StoreLimits {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "{} requests and {} changes a second, next {} and {}; nothing above {} bytes a value and {} changes a transaction is written",
+            self.rps,
+            self.write_rps,
+            self.next_rps,
+            self.next_write_rps,
+            self.value_bytes,
+            self.txn_ops
+        )
+    }
+}
+
 /// Looks up fields by their path, so that every complaint names one.
 struct Fields<'a>(&'a Value);
 
