World: a node that has just started reads the records as they stand, in the order of keys

It replayed the history of changes before, which a real node never sees: what an overwritten segment had said stayed known.

--- a/crates/saltpitch-core/tests/versions.rs
+++ b/crates/saltpitch-core/tests/versions.rs
@@ -120,3 +120,20 @@
     assert_eq!(new["s"], "done");
     assert_eq!(new["f"], 7);
 }
+
+/// The log goes round in its keys: read in their order, an older segment comes after a newer one, and the
+/// newer one's word stays.
+#[test]
+fn of_two_segments_the_newer_counts_whatever_the_order() {
+    let mut view = View::default();
+    let newer = r#"{"n":16,"e":[["job-000001",[[0,2,"vm-000002",1,0]]]]}"#;
+    let older = r#"{"n":1,"e":[["job-000001",[[0,1,"vm-000001",1,0]]]]}"#;
+    view.put("salt/j/job-000001", &raw(OLD[3].1), 5)
+        .expect("read");
+    view.put("salt/l/0", &raw(newer), 9).expect("read");
+    view.put("salt/l/1", &raw(older), 6).expect("read");
+    let task = &view.tasks["job-000001"].tasks[0];
+    assert_eq!(task.attempt, 2);
+    assert_eq!(task.place.as_ref().map(|p| &*p.0), Some("vm-000002"));
+    assert_eq!(view.last_segment, 16);
+}
--- a/crates/saltpitch-testkit/src/nodes.rs
+++ b/crates/saltpitch-testkit/src/nodes.rs
@@ -124,6 +124,16 @@
     pub fn follow(&mut self, store: &Store, now: Micros) {
         let mut changed = Vec::new();
         let owner = (self.view.term.1.node.clone(), self.view.term.1.life);
+        if !self.synced {
+            // A process that has just started reads the records as they stand, in the order of keys.
+            for (key, e) in &store.keys {
+                let Ok(value) = serde_json::value::RawValue::from_string(e.value.clone()) else {
+                    continue;
+                };
+                let _ = self.view.put(key, &value, e.rev);
+            }
+            self.view.rev = store.rev;
+        }
         for (rev, key, value) in store.changes(self.view.rev) {
             match value {
                 Some(v) => {
