Nothing is kept for gangs that can't start: jobs of their team no longer wait beside room

Cause: a gang that had waited for its turn kept what its team's limit had left, also where services hold the rest of the limit for good; and a gang at the barrier held its room for as long as no machine was to be had for its last task, while the rental of that machine was skipped because a replica served before it claimed the limit and found no machine either.

--- a/crates/saltpitch-core/src/leader/capacity.rs
+++ b/crates/saltpitch-core/src/leader/capacity.rs
@@ -182,6 +182,12 @@
             };
             let idle = job.idle.len() as u64;
             let mut want = team.more(used, &spec.need).min(idle);
+            // A gang at the barrier found the team's limit free for all of it. What is served before it
+            // and finds no machine must not keep the machines for its last tasks from being rented.
+            let at_barrier = matches!(job.gang, Gang::Holding { .. }) && job.placed > 0;
+            if at_barrier && self.quota.more(job_team, &spec.need) >= idle {
+                want = idle;
+            }
             if want == 0 || (spec.kind == Kind::Gang && want < idle) {
                 continue;
             }
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -25,6 +25,8 @@
 const STARVED_SMALL: Micros = Micros::from_secs(300);
 /// A job of which nothing runs takes any room that fits after this.
 const STUCK: Micros = Micros::from_secs(60);
+/// How long a gang keeps the room that it found while jobs of its team are stuck.
+const MAX_HOLD: Micros = Micros::from_secs(25);
 /// Gangs are served in this order of the time left to them.
 const SLOT: Micros = Micros::from_secs(10);
 /// Gangs take their whole room at once, and come before everything of their team but production.
@@ -230,6 +232,22 @@
             && now.since(job.queued) > Micros::from_secs(20)
     }
 
+    /// Whether a gang keeps the room that it found beyond the barrier's wait: its turn has come. Not for
+    /// ever, though: where the machines for the rest are not to be had, jobs of its team would wait
+    /// beside free room, since what the gang holds counts against the team's limit.
+    fn keeps_barrier(&self, no: JobNo, since: Micros, now: Micros) -> bool {
+        let Some(job) = self.jobs.get(&no).filter(|job| self.aged(job, now)) else {
+            return false;
+        };
+        let blocked = |other: &Job| {
+            other.team == job.team
+                && other.spec.kind == Kind::Array
+                && !other.idle.is_empty()
+                && self.stuck(other, now)
+        };
+        now.since(since) < MAX_HOLD || !self.jobs.values().any(blocked)
+    }
+
     /// What its team has left is kept for a gang that has waited too long: nothing behind that one
     /// takes of the same kind until it has started.
     fn kept_from(&self, job: &Job) -> bool {
@@ -445,7 +463,7 @@
         let need = job.spec.need;
         let idle = job.idle.len() as u64;
         if self.quota.more(job.team, &need) < idle {
-            if self.starved(job, now) {
+            if self.starved(job, now) && self.can_become_free(job) {
                 // Of processors, everybody's tasks take; of accelerators, only some.
                 let cpu = Res { gpu: 0, ..need };
                 let only_gpu = self.quota.more(job.team, &cpu) >= idle;
@@ -488,7 +506,7 @@
                 }
                 self.preempt(w, left, now);
             }
-            Permit::Drop if self.jobs.get(&w.no).is_some_and(|j| self.aged(j, now)) => {
+            Permit::Drop if self.keeps_barrier(w.no, since, now) => {
                 // It keeps what it found: its turn has come.
                 self.hold_barrier(w.no, since);
             }
@@ -503,6 +521,21 @@
         }
     }
 
+    /// Whether the team's limit holds the whole gang beside the team's services, which don't end by
+    /// themselves. If it does not, keeping what the team has left would only make the team's other
+    /// jobs wait beside free room, for as long as the services run.
+    fn can_become_free(&self, job: &Job) -> bool {
+        let services = self
+            .jobs
+            .values()
+            .filter(|j| j.team == job.team && j.spec.kind == Kind::Service);
+        let lasting = services.fold(Res::default(), |sum, j| {
+            sum.plus(&j.spec.need.times(u64::from(j.placed)))
+        });
+        let team = self.quota.team(job.team);
+        team.is_some_and(|t| t.more(&lasting, &job.spec.need) >= u64::from(job.spec.tasks))
+    }
+
     /// Drops the room of a gang that is not complete: nothing of it has gone on record.
     fn park(&mut self, no: JobNo, now: Micros) {
         let Some(job) = self.jobs.get_mut(&no) else {
