Settings that contradict each other are named by check and at start

Reports that outlast the lease, two peers of one name, rates of the state service, present or next, below what the controllers need to lead at all: a typed error that names the field, and a non-zero exit. What works at a price (a lease of few reports, a short bound on answers, few changes, small values) is a warning.

--- a/crates/saltpitch/src/main.rs
+++ b/crates/saltpitch/src/main.rs
@@ -78,11 +78,17 @@
                 s.zones.len()
             );
             println!("store: {}", s.store);
+            for warning in s.warnings() {
+                println!("warning: {warning}");
+            }
             Ok(())
         }
         Command::Serve { config, policy } => {
             let s = settings::Settings::load(&config, policy.as_deref())?;
             start_log();
+            for warning in s.warnings() {
+                tracing::info!("settings: {warning}");
+            }
             tokio::runtime::Builder::new_current_thread()
                 .enable_all()
                 .build()?
--- a/crates/saltpitch/src/settings.rs
+++ b/crates/saltpitch/src/settings.rs
@@ -13,6 +13,8 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+pub mod contradictions;
+
 /// Keys of the log: about three minutes of it, a few megabytes in the store. All nodes of a site
 /// must agree on it.
 const LOG_RING: u64 = 2_048;
@@ -172,15 +174,15 @@
         };
         // Nothing that is promised rests on the time of day; what the file says is checked all the same.
         f.number("cluster.clock_error_ms", 0.0, 1e6)?;
-        if s.workers.cancel <= s.workers.lease {
-            bail!("settings: field `cluster.workers.cancel_s` must exceed `lease_s`");
-        }
-        if s.peers.iter().any(|p| p.node == s.node) {
-            bail!("settings: field `seeds` names this node itself");
-        }
+        contradictions::check(&s)?;
         Ok(s)
     }
 
+    /// What still works but is worth a look.
+    pub fn warnings(&self) -> Vec<contradictions::Warning> {
+        contradictions::warnings(self)
+    }
+
     /// What a controller has to know about itself and the site.
     pub fn controller(&self) -> ControllerConfig {
         let identity = |peer: &Peer| PeerIdentity {
--- a/crates/saltpitch/tests/check.rs
+++ b/crates/saltpitch/tests/check.rs
@@ -8,10 +8,17 @@
 
 /// The program's verdict on the example with this as `cluster.state.next`: all that it prints.
 fn check(name: &str, next: Option<Value>) -> (bool, String) {
+    check_with(name, |settings| {
+        if let Some(next) = next {
+            settings["cluster"]["state"]["next"] = next;
+        }
+    })
+}
+
+/// The program's verdict on the example, changed by `change`.
+fn check_with(name: &str, change: impl FnOnce(&mut Value)) -> (bool, String) {
     let mut settings: Value = serde_json::from_str(EXAMPLE).expect("JSON");
-    if let Some(next) = next {
-        settings["cluster"]["state"]["next"] = next;
-    }
+    change(&mut settings);
     let file = std::env::temp_dir().join(format!("saltpitch-{}-{name}.json", std::process::id()));
     std::fs::write(&file, settings.to_string()).expect("a file");
     let end = Command::new(env!("CARGO_BIN_EXE_saltpitch"))
@@ -75,3 +82,81 @@
     let (ok, said) = check("list", Some(json!([1])));
     assert!(!ok && said.contains("cluster.state.next"), "{said}");
 }
+
+/// Settings that are valid one by one and contradict each other: the field is named and the start refused.
+#[test]
+fn contradicting_settings_are_refused_by_name() {
+    let cases: [(&str, Value, &str); 7] = [
+        ("/cluster/workers/report_s", json!(16.0), "report_s"),
+        ("/cluster/workers/cancel_s", json!(20.0), "cancel_s"),
+        ("/cluster/state/rps", json!(2.0), "cluster.state.rps"),
+        (
+            "/cluster/state/write_rps",
+            json!(1.5),
+            "cluster.state.write_rps",
+        ),
+        (
+            "/cluster/state/next",
+            json!({"rps": 2.0}),
+            "cluster.state.next.rps",
+        ),
+        (
+            "/cluster/state/next",
+            json!({"write_rps": 1.0}),
+            "cluster.state.next.write_rps",
+        ),
+        (
+            "/seeds",
+            json!([{"node": "south", "addr": "127.0.0.1:9081"}, {"node": "south", "addr": "127.0.0.1:9082"}]),
+            "names south twice",
+        ),
+    ];
+    for (at, bad, field) in cases {
+        let (ok, said) = check_with("contradiction", |settings| set(settings, at, bad));
+        assert!(!ok && said.contains(field), "{at}: {said}");
+    }
+}
+
+/// What still works is at most a warning.
+#[test]
+fn what_works_at_a_price_is_a_warning() {
+    let cases: [(&str, Value, &str); 4] = [
+        (
+            "/cluster/workers/report_s",
+            json!(7.0),
+            "fewer than 3 reports",
+        ),
+        (
+            "/cluster/workers/cancel_s",
+            json!(22.0),
+            "exceeds `lease_s` by little",
+        ),
+        (
+            "/cluster/state/next",
+            json!({"write_rps": 4.0}),
+            "4 changes a second",
+        ),
+        (
+            "/cluster/state/next",
+            json!({"value_kb": 1.0}),
+            "1024 bytes",
+        ),
+    ];
+    for (at, odd, warning) in cases {
+        let (ok, said) = check_with("warning", |settings| set(settings, at, odd));
+        let told = said.contains("warning: ") && said.contains(warning);
+        assert!(ok && told, "{at}: {said}");
+    }
+    let (ok, said) = check("plain", None);
+    assert!(ok && !said.contains("warning"), "{said}");
+}
+
+/// Sets what stands at this JSON pointer, as a new field if need be.
+fn set(settings: &mut Value, pointer: &str, value: Value) {
+    let (parent, field) = pointer.rsplit_once('/').expect("a pointer");
+    let parent = settings.pointer_mut(parent).expect("the parent");
+    match field.parse::<usize>() {
+        Ok(index) => parent[index] = value,
+        Err(_) => parent[field] = value,
+    }
+}
