A new leader knows from the records which machines hold which images

Cause: a leader that takes over has never heard of a machine's cache; gangs and replicas are placed as if every image had to be fetched. Every controller follows the records, which say where each task was placed and that it completed, so the machine had its image: no record changes its format.

Also: the placement log says when it is nearly full and when it is full, twice a minute at the most, instead of standing still in silence (limits.rs); the line on an ended job says when it was released, when its last task was placed, its attempts and what it waited on.

--- a/crates/saltpitch-core/src/cluster.rs
+++ b/crates/saltpitch-core/src/cluster.rs
@@ -154,6 +154,8 @@
     /// The record block that it is in.
     pub block: Option<u32>,
     images: BTreeMap<String, (u64, Micros)>,
+    /// The session for which its images were recalled from the records, until it is heard.
+    pub recalled_session: Option<u64>,
 }
 
 /// A machine whose reports arrive while answers and commands don't reach it looks alive, yet its
@@ -308,6 +310,7 @@
             look_at: Micros::ZERO,
             block: None,
             images: BTreeMap::new(),
+            recalled_session: None,
         }
     }
 
--- a/crates/saltpitch-core/src/controller/notice.rs
+++ b/crates/saltpitch-core/src/controller/notice.rs
@@ -2,7 +2,8 @@
 
 use std::fmt;
 
-use crate::leader::Ignored;
+use crate::leader::{Ignored, JobTimeline};
+use crate::time::Micros;
 
 /// Why the leadership ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,23 +70,8 @@
         /// Why.
         reason: Ignored,
     },
-    /// A job ended; shows on-call staff which jobs were late.
-    JobEnded {
-        /// Its id.
-        job: String,
-        /// Its class.
-        class: String,
-        /// How many tasks it had.
-        tasks: u32,
-        /// The owner's estimate of a task's run time, in seconds.
-        estimate_s: f64,
-        /// The deadline counted from the submission, in seconds; 0 if there is none.
-        deadline_s: f64,
-        /// The time since the submission, in seconds.
-        took_s: f64,
-        /// Whether it was cancelled rather than done.
-        cancelled: bool,
-    },
+    /// A job ended.
+    JobEnded(EndedJob),
 }
 
 impl Notice {
@@ -118,21 +104,54 @@
                 f,
                 "report of {machine} (token {token}) gets no answer: {reason:?}"
             ),
-            Notice::JobEnded {
-                job,
-                class,
-                tasks,
-                estimate_s,
-                deadline_s,
-                took_s,
-                cancelled,
-            } => {
-                let end = if *cancelled { "cancelled" } else { "done" };
-                write!(
-                    f,
-                    "{job} ({class}, {tasks} tasks of {estimate_s:.0} s, deadline {deadline_s:.0} s) after {took_s:.0} s: {end}"
-                )
-            }
+            Notice::JobEnded(job) => job.fmt(f),
+        }
+    }
+}
+
+/// A job that ended, and where its time went: shows on-call staff which jobs were late and why.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndedJob {
+    /// Its id.
+    pub id: String,
+    /// Its class.
+    pub class: String,
+    /// How many tasks it had.
+    pub tasks: u32,
+    /// The owner's estimate of a task's run time.
+    pub estimate: Micros,
+    /// The deadline, counted from the submission.
+    pub deadline: Option<Micros>,
+    /// The jobs that it waited on.
+    pub dependencies: Vec<String>,
+    /// The time since the submission.
+    pub took: Micros,
+    /// What the leader saw of it.
+    pub timeline: JobTimeline,
+    /// Whether it was cancelled rather than done.
+    pub cancelled: bool,
+}
+
+impl fmt::Display for EndedJob {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let seconds = |span: Micros| span.as_secs_f64();
+        let end = if self.cancelled { "cancelled" } else { "done" };
+        write!(
+            f,
+            "{} ({}, {} tasks of {:.0} s, deadline {:.0} s) after {:.0} s: {end}; released at {:.0} s, last placed at {:.0} s, {} attempts",
+            self.id,
+            self.class,
+            self.tasks,
+            seconds(self.estimate),
+            seconds(self.deadline.unwrap_or_default()),
+            seconds(self.took),
+            seconds(self.timeline.released),
+            seconds(self.timeline.last_placed),
+            self.timeline.attempts,
+        )?;
+        if !self.dependencies.is_empty() {
+            write!(f, ", waited on {}", self.dependencies.join(" "))?;
         }
+        Ok(())
     }
 }
--- a/crates/saltpitch-core/src/controller/records.rs
+++ b/crates/saltpitch-core/src/controller/records.rs
@@ -2,9 +2,10 @@
 
 use crate::job::JobState;
 use crate::leader::Write;
-use crate::records::{node_key, Change, NodeRecord, RecordChange, View};
+use crate::records::{node_key, Change, JobRecord, NodeRecord, RecordChange, View};
 use crate::time::Micros;
 
+use super::notice::EndedJob;
 use super::{Controller, Notice};
 
 /// The state service holds records of a layout that this version cannot lead on.
@@ -200,11 +201,11 @@
         self.notices.push(Notice::PreviousLeaderGone { node });
     }
 
-    /// The leader's log tells how long each job took.
+    /// The leader's log tells how long each job took and where its time went.
     fn note_job_end(&mut self, change: &RecordChange, wall: Micros) {
-        if self.leadership.is_none() {
+        let Some(leadership) = &self.leadership else {
             return;
-        }
+        };
         let Some(id) = crate::records::job_id(&change.key) else {
             return;
         };
@@ -214,17 +215,20 @@
         let (Some(spec), Some(value)) = (&old.record.spec, &change.value) else {
             return;
         };
-        let Ok(new) = serde_json::from_str::<crate::records::JobRecord>(value.get()) else {
+        let Ok(new) = serde_json::from_str::<JobRecord>(value.get()) else {
             return;
         };
-        self.notices.push(Notice::JobEnded {
-            job: id.to_owned(),
+        let end = EndedJob {
+            id: id.to_owned(),
             class: spec.class.clone(),
             tasks: spec.tasks,
-            estimate_s: spec.estimate.as_secs_f64(),
-            deadline_s: spec.deadline.map_or(0.0, Micros::as_secs_f64),
-            took_s: wall.since(old.record.submitted).as_secs_f64(),
+            estimate: spec.estimate,
+            deadline: spec.deadline,
+            dependencies: spec.needs.clone(),
+            took: wall.since(old.record.submitted),
+            timeline: leadership.leader.timeline(id).unwrap_or_default(),
             cancelled: new.state == JobState::Cancelled,
-        });
+        };
+        self.notices.push(Notice::JobEnded(end));
     }
 }
--- a/crates/saltpitch-core/src/leader/commit.rs
+++ b/crates/saltpitch-core/src/leader/commit.rs
@@ -352,9 +352,14 @@
 
     /// Adds a segment with all that is dirty, what is due first, as far as it goes in one value.
     fn add_segment(&mut self, b: &mut Batch, p: &mut Pending, ops: usize, max: usize, now: Micros) {
-        if self.dirty.queue.first().is_none_or(|d| d.0 > now) || !self.slot_is_free() {
+        if self.dirty.queue.first().is_none_or(|d| d.0 > now) {
             return;
         }
+        if !self.slot_is_free() {
+            self.log_state.blocked_since.get_or_insert(now);
+            return;
+        }
+        self.log_state.blocked_since = None;
         let limit = (self.cfg.value_bytes * 7 / 8)
             .min(SEGMENT_BYTES)
             .min(max / 2);
--- a/crates/saltpitch-core/src/leader/evidence.rs
+++ b/crates/saltpitch-core/src/leader/evidence.rs
@@ -200,6 +200,11 @@
             if r.session > m.session || m.session_since == Micros::ZERO {
                 m.session_since = now;
             }
+            // What the records prove of its images holds for the session that they name.
+            if m.recalled_session.take().is_some_and(|s| r.session > s) {
+                let went = m.forget_images();
+                self.fleet.images(&m.zone, &[], &went);
+            }
             if r.session > m.session {
                 m.doubt = None;
                 m.report_seq = 0;
--- a/crates/saltpitch-core/src/leader/jobs.rs
+++ b/crates/saltpitch-core/src/leader/jobs.rs
@@ -9,7 +9,29 @@
 use crate::records::{View, CHUNK};
 use crate::time::Micros;
 
+/// Where a job's time went, as far as this leader saw it; all times count from the submission.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct JobTimeline {
+    /// When the last job that it waited on was done; zero if it waited on none.
+    pub released: Micros,
+    /// When its last task was placed, zero if none was.
+    pub last_placed: Micros,
+    /// The highest attempt of any of its tasks: above 1, tasks were lost or stopped.
+    pub attempts: u32,
+}
+
 impl Leader {
+    /// Where the job's time went, if it is still known.
+    pub fn timeline(&self, id: &str) -> Option<JobTimeline> {
+        let job = self.jobs.get(self.by_id.get(id)?)?;
+        let attempts = job.tasks.iter().map(|t| t.attempt).max();
+        Some(JobTimeline {
+            released: job.queued.since(job.submitted),
+            last_placed: job.served_at.since(job.submitted),
+            attempts: attempts.unwrap_or(0),
+        })
+    }
+
     /// Another node's word: this job is cancelled, although the records that this node has don't show
     /// it. What runs is stopped and nothing more is placed; the record catches up later.
     pub fn called_off(&mut self, id: &str, now: Micros) {
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -6,6 +6,7 @@
 mod commit;
 mod consolidate;
 mod evidence;
+mod faults;
 mod jobs;
 mod pipeline;
 mod rules;
@@ -28,6 +29,8 @@
 pub use capacity::{Refusal, Rented};
 pub use commit::Outcome;
 pub use evidence::{Ignored, ListedMachine, Ordered};
+pub use faults::Fault;
+pub use jobs::JobTimeline;
 
 /// What the settings say, as far as the core needs it.
 #[derive(Clone, Debug)]
@@ -337,6 +340,7 @@
     batch_placed: f64,
     /// Machines and jobs looked at: what a pass costs, for tests.
     steps: u64,
+    log_state: faults::LogState,
     /// Zones in which a controller can be reached from here: a silent machine there is no sign of
     /// a cut.
     pub open_zones: BTreeSet<String>,
@@ -423,6 +427,7 @@
             gpu_asked: Micros::ZERO,
             batch_placed: 0.0,
             steps: 0,
+            log_state: faults::LogState::default(),
             open_zones: BTreeSet::new(),
             wall_offset: wall.since(now),
             awake_since: now,
@@ -452,6 +457,7 @@
                     continue;
                 }
                 l.add_machine(m);
+                l.recall_images(&rec.0, view, now);
             }
         }
         let mut ids: Vec<&String> = view.jobs.keys().collect();
@@ -514,6 +520,21 @@
         self.machines.insert(name, m);
     }
 
+    /// What the records prove of a machine's cache, for a leader that has never heard of the machine.
+    fn recall_images(&mut self, name: &str, view: &View, now: Micros) {
+        let (Some(cache), Some(m)) = (view.images.of(name), self.machines.get_mut(name)) else {
+            return;
+        };
+        m.recalled_session = Some(cache.session);
+        let count = cache.images.len() as u64;
+        for (i, image) in cache.images.iter().enumerate() {
+            // In the order of their use, and all before this leader's own time.
+            let used_at = now.since(Micros(count - i as u64));
+            let (came, went) = m.use_image(&image.name, image.size_mb, used_at);
+            self.fleet.images(&m.zone, &came, &went);
+        }
+    }
+
     /// The machine is proven gone; nothing is on it any more.
     fn drop_machine(&mut self, name: &Arc<str>, now: Micros) {
         let Some(mut m) = self.machines.remove(name) else {
--- a/crates/saltpitch-core/src/leader/rules.rs
+++ b/crates/saltpitch-core/src/leader/rules.rs
@@ -91,9 +91,4 @@
         let cluster = self.cluster();
         self.cfg.policy.flag("consolidate", &cluster)
     }
-
-    /// Faults of the policy since the last call, for the log.
-    pub fn policy_faults(&mut self) -> Vec<String> {
-        std::mem::take(&mut self.cfg.policy.faults)
-    }
 }
--- a/crates/saltpitch-core/src/lib.rs
+++ b/crates/saltpitch-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod controller;
 pub mod fleet;
 pub mod gang;
+pub mod images;
 pub mod job;
 pub mod leader;
 pub mod leadership;
--- a/crates/saltpitch-core/src/records.rs
+++ b/crates/saltpitch-core/src/records.rs
@@ -10,7 +10,8 @@
 use serde_json::value::RawValue;
 
 use crate::catalog::Catalog;
-use crate::job::{JobSpec, JobState, MAX_TASKS};
+use crate::images::ImageEvidence;
+use crate::job::{JobSpec, JobState, Kind, MAX_TASKS};
 use crate::messages::AckRequest;
 use crate::time::Micros;
 
@@ -193,23 +194,31 @@
 }
 
 impl TaskStates {
-    /// Whatever comes late or twice, the newest segment's word stays.
-    fn set(&mut self, task: u32, new: TaskState) {
+    /// Whatever comes late or twice, the newest segment's entry stays. Returns the machine and
+    /// the session in which the task has just completed.
+    fn set(&mut self, task: u32, new: TaskState) -> Option<(String, u64)> {
         let at = task as usize;
         if at >= self.tasks.len() {
             if task >= MAX_TASKS {
-                return;
+                return None;
             }
             self.tasks.resize(at + 1, TaskState::default());
         }
         let old = &mut self.tasks[at];
         if new.seg < old.seg {
-            return;
+            return None;
         }
         self.running =
             self.running + u32::from(new.place.is_some()) - u32::from(old.place.is_some());
         self.done = self.done + u32::from(new.done) - u32::from(old.done);
-        *old = new;
+        let completed = new.done && !old.done;
+        let before = std::mem::replace(old, new);
+        before.place.filter(|_| completed).map(|place| *place)
+    }
+
+    /// The machines and sessions in which tasks are placed.
+    fn places(&self) -> impl Iterator<Item = &(String, u64)> {
+        self.tasks.iter().filter_map(|t| t.place.as_deref())
     }
 }
 
@@ -409,6 +418,8 @@
     pub leader: Option<(u64, LeaderRecord)>,
     pub catalog: Option<(u64, Arc<Catalog>)>,
     pub gone: Gone,
+    /// Which machines hold which images.
+    pub images: ImageEvidence,
     /// Jobs that wait for others, by those that they need.
     dependents: HashMap<String, Vec<String>>,
     /// Jobs not yet cancelled on record that need a cancelled one, directly or through others. None of
@@ -462,6 +473,7 @@
                 }
                 let record: JobRecord = parse(raw)?;
                 if record.spec.is_none() {
+                    self.note_images_at_end(id, record.state);
                     self.tasks.remove(id);
                 }
                 let was = self.jobs.get(id).map(|j| j.record.state);
@@ -507,6 +519,7 @@
                     let mut others = self.blocks.iter().filter(|b| *b.0 != no);
                     if !others.any(|(_, b)| b.1.machines.iter().any(|m| m.0 == name)) {
                         self.gone.insert(name);
+                        self.images.forget(name);
                     }
                 }
                 self.blocks.insert(no, (rev, new));
@@ -551,7 +564,7 @@
             Key::Block(no) if self.blocks.get(&no).is_some_and(|b| b.0 < rev) => {
                 if let Some((_, old)) = self.blocks.remove(&no) {
                     for m in &old.machines {
-                        self.gone.insert(&m.0);
+                        self.machine_gone(&m.0);
                     }
                 }
                 return Change::Machine;
@@ -608,27 +621,52 @@
             if self.is_over(&id) {
                 continue;
             }
+            let job = self.jobs.get(&id);
+            let spec = job.and_then(|job| job.record.spec.as_deref());
             let states = self.tasks.entry(id).or_default();
             for Entry(task, attempt, machine, session, done) in entries {
                 let place = (!machine.is_empty()).then(|| Box::new((machine, session)));
-                states.set(
-                    task,
-                    TaskState {
-                        seg: record.no,
-                        attempt,
-                        done: done > 0,
-                        place,
-                    },
-                );
+                let state = TaskState {
+                    seg: record.no,
+                    attempt,
+                    done: done > 0,
+                    place,
+                };
+                let completed_on = states.set(task, state);
+                if let (Some((machine, session)), Some(spec)) = (completed_on, spec) {
+                    let images = &mut self.images;
+                    images.used(&machine, session, &spec.image, spec.image_mb);
+                }
             }
         }
         chunks
     }
 
+    /// A job's final record leaves out its tasks. Those of a job that is done completed where they were
+    /// placed; the replicas of a cancelled service ran there.
+    fn note_images_at_end(&mut self, id: &str, state: JobState) {
+        let Some(spec) = self.jobs.get(id).and_then(|j| j.record.spec.as_deref()) else {
+            return;
+        };
+        let used = state == JobState::Done || spec.kind == Kind::Service;
+        let tasks = self.tasks.get(id).filter(|_| used);
+        for (machine, session) in tasks.into_iter().flat_map(TaskStates::places) {
+            let images = &mut self.images;
+            images.used(machine, *session, &spec.image, spec.image_mb);
+        }
+    }
+
+    /// The machine was returned: late sightings of it mean nothing.
+    fn machine_gone(&mut self, name: &str) {
+        self.gone.insert(name);
+        self.images.forget(name);
+    }
+
     /// Takes over the names of returned machines from an older copy: what that one knew and this one
     /// does not have is gone as well.
     pub fn succeed(&mut self, old: View) {
         self.gone = old.gone;
+        self.images = old.images;
         // The list that leaders have been told from goes on: what the older copy had is in it.
         let new = std::mem::replace(&mut self.cancellations, old.cancellations);
         let mut new: Vec<(u64, String)> = new.list.into_iter().collect();
@@ -647,6 +685,7 @@
         for m in old.blocks.values().flat_map(|b| &b.1.machines) {
             if !here.contains(m.0.as_str()) {
                 self.gone.insert(&m.0);
+                self.images.forget(&m.0);
             }
         }
     }
--- a/crates/saltpitch-core/tests/directed.rs
+++ b/crates/saltpitch-core/tests/directed.rs
@@ -5,13 +5,13 @@
 
 use saltpitch_core::catalog::{Catalog, MachineType, Res};
 use saltpitch_core::cluster::{Cause, Order, Report, SeenTask, TaskState};
-use saltpitch_core::job::{JobSpec, Kind, Priority};
+use saltpitch_core::job::{JobSpec, JobState, Kind, Priority};
 use saltpitch_core::leader::{Aim, Config, Effect, Leader, Objective, Ordered, Outcome};
 use saltpitch_core::policy::Policy;
 use saltpitch_core::quota::TeamLimits;
 use saltpitch_core::records::{
-    block_key, chunk_key, job_key, BlockRecord, ChunkRecord, JobRecord, MachineRecord, PlaceRecord,
-    TermRecord, View, TERM_KEY,
+    block_key, chunk_key, job_key, log_key, BlockRecord, ChunkRecord, Entry, JobRecord, LogRecord,
+    MachineRecord, PlaceRecord, TermRecord, View, TERM_KEY,
 };
 use saltpitch_core::Micros;
 use serde_json::value::to_raw_value;
@@ -732,3 +732,61 @@
     assert!(d.leader.summary().contains("placed 40"));
     assert!((1..=3).contains(&d.segments), "{} segments", d.segments);
 }
+
+/// Two machines, on the second of which a task with the image "warm" completed in its first session, as
+/// the records of an earlier leader say. Returns the machine on which a new replica with that image
+/// starts; `session` is the one that the second machine reports.
+fn starts_on(done: bool, session: u64) -> String {
+    let names = ["vm-000001", "vm-000002"];
+    let build = |view: &mut View| {
+        let machine = |name: &&str| {
+            let addr = "10.1.0.100:9000".to_owned();
+            MachineRecord((*name).to_owned(), addr, false, secs(900))
+        };
+        let block = BlockRecord {
+            type_name: "plain".to_owned(),
+            zone: "east".to_owned(),
+            spot: false,
+            machines: names.iter().map(machine).collect(),
+        };
+        put(view, &block_key(1), &block, 2);
+        let mut warm = spec(Kind::Array, 2, 1);
+        warm.image = "warm".to_owned();
+        let record = JobRecord::accepted(secs(900), Arc::new(warm));
+        put(view, &job_key("job-1"), &record, 3);
+        let placed = Entry(0, 1, "vm-000002".to_owned(), 1, 0);
+        let segment = |no, entry| LogRecord {
+            no,
+            entries: vec![("job-1".to_owned(), vec![entry])],
+        };
+        put(view, &log_key(1), &segment(1, placed), 4);
+        let completed = Entry(0, 1, String::new(), 0, u8::from(done));
+        put(view, &log_key(2), &segment(2, completed), 5);
+        let over = JobRecord::over(JobState::Done, None);
+        put(view, &job_key("job-1"), &over, 6);
+    };
+    let mut d = Desk::new(build, secs(0));
+    for seq in 1..4 {
+        d.report("vm-000001", "east", seq, &[]);
+        let mut second = report("vm-000002", "east", seq, &[]);
+        second.session = session;
+        let _ = d.leader.report(second, false, d.now);
+        d.pass(secs(1));
+    }
+    let mut replica = spec(Kind::Service, 1, 1);
+    replica.image = "warm".to_owned();
+    d.submit("job-2", replica);
+    d.pass(secs(2));
+    let mut all = d.orders.iter();
+    let started = all.find(|(_, orders)| starts(orders) > 0);
+    started.expect("a start").0.to_string()
+}
+
+/// A leader that has never heard of a machine knows from the records which images it has used.
+#[test]
+fn a_new_leader_knows_which_machine_holds_an_image() {
+    assert_eq!(starts_on(true, 1), "vm-000002");
+    // A task that did not complete proves nothing, and neither does an earlier session.
+    assert_eq!(starts_on(false, 1), "vm-000001");
+    assert_eq!(starts_on(true, 2), "vm-000001");
+}
--- a/crates/saltpitch-core/tests/limits.rs
+++ b/crates/saltpitch-core/tests/limits.rs
@@ -7,7 +7,9 @@
 use saltpitch_core::catalog::{Catalog, MachineType, Res};
 use saltpitch_core::cluster::Report;
 use saltpitch_core::job::{JobSpec, JobState, Kind, Priority};
-use saltpitch_core::leader::{Config, Effect, Leader, ListedMachine, Ordered, Outcome, Write};
+use saltpitch_core::leader::{
+    Config, Effect, Fault, Leader, ListedMachine, Ordered, Outcome, Write,
+};
 use saltpitch_core::policy::Policy;
 use saltpitch_core::quota::TeamLimits;
 use saltpitch_core::records::{
@@ -113,6 +115,10 @@
 
 impl Desk {
     fn new(stored: &[(String, String)]) -> Desk {
+        Desk::with(config(), stored)
+    }
+
+    fn with(cfg: Config, stored: &[(String, String)]) -> Desk {
         let term = TermRecord {
             term: 5,
             node: "n0".to_owned(),
@@ -132,7 +138,7 @@
         }
         view.rev = 1;
         let now = secs(1_000);
-        let leader = Leader::new(config(), &view, catalog(), secs(0), now, now);
+        let leader = Leader::new(cfg, &view, catalog(), secs(0), now, now);
         Desk {
             keys,
             rev: 1,
@@ -377,3 +383,33 @@
     assert!(d.throttled >= 5, "{}", d.throttled);
     assert!(late <= 4, "{late} refusals after it was known");
 }
+
+/// More places than the log's ring can carry along in such small values: that is told before the ring is
+/// full and again when it is, and whoever reads the records still knows every place.
+#[test]
+fn a_log_that_the_limits_make_too_small_is_told() {
+    let names: Vec<String> = (100..130).map(|n| format!("vm-{n:06}")).collect();
+    let mut cfg = config();
+    cfg.log_ring = 16;
+    let mut d = Desk::with(cfg, &[]);
+    d.second(&names, 1, &|_| {});
+    d.second(&names, 2, &|_| {});
+    d.submit("job-1", spec(100));
+    let mut told = Vec::new();
+    for s in 0..200u64 {
+        d.submit(&format!("job-{}", s + 10), spec(1));
+        if s >= 2 {
+            d.cancel(&format!("job-{}", s + 8), spec(1));
+        }
+        d.second(&names, s + 3, &|_| {});
+        let now = d.now;
+        told.extend(d.leader.take_faults(now));
+    }
+    let nearly = told
+        .iter()
+        .position(|f| matches!(f, Fault::LogNearlyFull { .. }));
+    let full = told.iter().position(|f| matches!(f, Fault::LogFull { .. }));
+    assert!(nearly.is_some() && full > nearly, "{told:?}");
+    // Told twice a minute at the most.
+    assert!(told.len() <= 7, "{told:?}");
+}
--- a/crates/saltpitch/src/lead.rs
+++ b/crates/saltpitch/src/lead.rs
@@ -167,7 +167,7 @@
     let Some(leader) = controller.leader_in_epoch(epoch) else {
         return IDLE_WAIT;
     };
-    for fault in leader.policy_faults() {
+    for fault in leader.take_faults(now) {
         tracing::error!("{fault}");
     }
     if now.since(*summarised_at) > SUMMARY_INTERVAL {
