What runs counts as urgent as the most urgent job that needs it, also when it may be stopped

Part of that were stops: a stage was ranked as urgent but could be stopped as best-effort work by gangs and guarantees that are no more urgent.

What is left of the late chains are losses with machines and upstream jobs of other classes.

--- a/crates/saltpitch-core/src/leader/commit.rs
+++ b/crates/saltpitch-core/src/leader/commit.rs
@@ -718,6 +718,7 @@
             // Done is on record, so nobody can cancel it any more: what needs it may start.
             self.need_met(&job.id, job.done_at.unwrap_or(now), now);
         }
+        self.remember_timeline(&job);
         self.by_id.remove(&job.id);
         self.at_barrier.remove(&no);
         for task in 0..job.spec.tasks {
--- a/crates/saltpitch-core/src/leader/jobs.rs
+++ b/crates/saltpitch-core/src/leader/jobs.rs
@@ -20,16 +20,37 @@
     pub attempts: u32,
 }
 
-impl Leader {
-    /// Where the job's time went, if it is still known.
-    pub fn timeline(&self, id: &str) -> Option<JobTimeline> {
-        let job = self.jobs.get(self.by_id.get(id)?)?;
+/// How many jobs are remembered after their end.
+const MAX_ENDED: usize = 64;
+
+impl JobTimeline {
+    fn of(job: &Job) -> JobTimeline {
         let attempts = job.tasks.iter().map(|t| t.attempt).max();
-        Some(JobTimeline {
+        JobTimeline {
             released: job.queued.since(job.submitted),
             last_placed: job.served_at.since(job.submitted),
             attempts: attempts.unwrap_or(0),
-        })
+        }
+    }
+}
+
+impl Leader {
+    /// Where the job's time went, if it runs or has ended a short while ago.
+    pub fn timeline(&self, id: &str) -> Option<JobTimeline> {
+        let running = self.by_id.get(id).and_then(|no| self.jobs.get(no));
+        if let Some(job) = running {
+            return Some(JobTimeline::of(job));
+        }
+        let ended = self.ended.iter().find(|(ended, _)| **ended == *id);
+        ended.map(|(_, timeline)| *timeline)
+    }
+
+    /// Its final record is written, which this node's copy of the records has yet to show.
+    pub(super) fn remember_timeline(&mut self, job: &Job) {
+        if self.ended.len() >= MAX_ENDED {
+            self.ended.pop_front();
+        }
+        self.ended.push_back((job.id.clone(), JobTimeline::of(job)));
     }
 
     /// Another node's word: this job is cancelled, although the records that this node has don't show
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -341,6 +341,8 @@
     /// Machines and jobs looked at: what a pass costs, for tests.
     steps: u64,
     log_state: faults::LogState,
+    /// Where the time went of jobs that ended last.
+    ended: VecDeque<(Arc<str>, JobTimeline)>,
     /// Zones in which a controller can be reached from here: a silent machine there is no sign of
     /// a cut.
     pub open_zones: BTreeSet<String>,
@@ -428,6 +430,7 @@
             batch_placed: 0.0,
             steps: 0,
             log_state: faults::LogState::default(),
+            ended: VecDeque::new(),
             open_zones: BTreeSet::new(),
             wall_offset: wall.since(now),
             awake_since: now,
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -738,8 +738,10 @@
     /// beyond its own.
     fn may_stop(&self, w: Waiting, spec: &JobSpec, other: &Job) -> bool {
         // What borrows a machine with accelerators makes way for work that needs them, wherever it
-        // stands in the order: it can't take that room back.
-        if spec.need.gpu > 0 && other.spec.need.gpu == 0 && other.spec.priority < spec.priority {
+        // stands in the order: it can't take that room back. A job counts as urgent as the most urgent
+        // job that needs it, here as in the order of service: otherwise an early stage of an urgent
+        // pipeline is stopped again and again by work that is no more urgent.
+        if spec.need.gpu > 0 && other.spec.need.gpu == 0 && other.priority < spec.priority {
             return true;
         }
         // Only what is served later anyway: otherwise two jobs could stop each other in turn.
@@ -747,7 +749,7 @@
         if other.rank <= own {
             return false;
         }
-        if other.spec.priority < spec.priority {
+        if other.priority < spec.priority {
             return true;
         }
         if !w.guaranteed || other.spec.team == spec.team {
--- a/crates/saltpitch-core/tests/directed.rs
+++ b/crates/saltpitch-core/tests/directed.rs
@@ -790,3 +790,59 @@
     assert_eq!(starts_on(false, 1), "vm-000001");
     assert_eq!(starts_on(true, 2), "vm-000001");
 }
+
+/// Whether the tasks of a best-effort array are stopped for an urgent array of another team, within that
+/// team's guarantee, that finds the site full; with or without an urgent job waiting on the former.
+fn stopped_for_urgent_work(needed_by_urgent: bool) -> bool {
+    let mut d = Desk::new(|_| {}, secs(0));
+    let mut stage = spec(Kind::Array, 8, 1);
+    stage.priority = Priority::Low;
+    stage.estimate = secs(300);
+    let urgent = |tasks, needs: &[&str]| {
+        let mut spec = spec(Kind::Array, tasks, 1);
+        spec.priority = Priority::High;
+        spec.needs = needs.iter().map(|id| (*id).to_owned()).collect();
+        spec
+    };
+    let mut stopped = false;
+    let mut running: Vec<SeenTask> = Vec::new();
+    for seq in 1..30 {
+        match seq {
+            4 => d.submit("job-1", stage.clone()),
+            5 if needed_by_urgent => d.submit("job-2", urgent(1, &["job-1"])),
+            12 => {
+                let mut other = urgent(4, &[]);
+                other.team = "blue".to_owned();
+                d.submit("job-3", other);
+            }
+            _ => {}
+        }
+        let orders = d.report("vm-1", "east", seq, &running);
+        let direct = d.orders.drain(..).flat_map(|(_, orders)| orders);
+        for order in orders.into_iter().chain(direct) {
+            match order {
+                Order::Start { job, task, attempt } if &*job == "job-1" => running.push(SeenTask {
+                    job: job.to_string(),
+                    task,
+                    attempt,
+                    state: TaskState::Running,
+                }),
+                Order::Stop { job, .. } if &*job == "job-1" => stopped = true,
+                _ => {}
+            }
+        }
+        running.sort_by_key(|t| t.task);
+        running.dedup_by_key(|t| t.task);
+        d.pass(secs(2));
+    }
+    assert_eq!(running.len(), 8, "the array does not run");
+    stopped
+}
+
+/// A job counts as urgent as the most urgent job that needs it. Found on the parking site's rough days:
+/// early stages of urgent pipelines were stopped up to four times for work no more urgent.
+#[test]
+fn what_an_urgent_job_needs_is_not_stopped_for_urgent_work() {
+    assert!(stopped_for_urgent_work(false));
+    assert!(!stopped_for_urgent_work(true));
+}
