--- a/crates/saltpitch-core/tests/controller.rs
+++ b/crates/saltpitch-core/tests/controller.rs
@@ -291,3 +291,158 @@
         "{notices:?}"
     );
 }
+
+/// A small linear generator: the history has to be the same in each run.
+struct Draw(u64);
+
+impl Draw {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (self.0 >> 33) % bound
+    }
+}
+
+/// A state service with a history of changes.
+#[derive(Default)]
+struct History {
+    keys: std::collections::BTreeMap<String, (u64, String)>,
+    changes: Vec<RecordChange>,
+}
+
+impl History {
+    fn revision(&self) -> u64 {
+        self.changes.last().map_or(0, |c| c.revision)
+    }
+
+    fn write(&mut self, key: &str, value: Option<String>) {
+        let revision = self.revision() + 1;
+        match &value {
+            Some(value) => self.keys.insert(key.to_owned(), (revision, value.clone())),
+            None => self.keys.remove(key),
+        };
+        self.changes.push(RecordChange {
+            key: key.to_owned(),
+            value: value.as_deref().map(raw),
+            revision,
+        });
+    }
+
+    fn is_over(&self, key: &str) -> bool {
+        let value = self.keys.get(key).map(|(_, value)| value.as_str());
+        value.is_some_and(|v| !v.contains("active"))
+    }
+
+    /// A change as a leader or a user makes them: what is over stays so, a checkpoint is deleted only of
+    /// a job that is over, and no segment is overwritten that is still needed.
+    fn change(&mut self, draw: &mut Draw) {
+        let (job, machine) = (draw.below(30), draw.below(40));
+        let job_key = format!("salt/j/job-{job:06}");
+        let over = self.is_over(&job_key);
+        match draw.below(6) {
+            0 if over => {}
+            0 => self.write(&job_key, Some(self.job(draw.below(8)))),
+            1 => {
+                let no = self.revision() + 1;
+                let entry = format!(r#"[0,{no},"vm-{machine:06}",1,{}]"#, draw.below(2));
+                let value = format!(r#"{{"n":{no},"e":[["job-{job:06}",[{entry}]]]}}"#);
+                self.write(&format!("salt/l/{no}"), Some(value));
+            }
+            2 => {
+                let rows = format!(r#"["vm-{machine:06}","10.1.0.1:9000",false,5]"#);
+                let value = format!(r#"{{"t":"plain","z":"east","s":true,"m":[{rows}]}}"#);
+                self.write(&format!("salt/b/{}", machine % 8), Some(value));
+            }
+            3 => self.write(&format!("salt/b/{}", machine % 8), None),
+            4 => {
+                let upto = self.revision() + 1;
+                let value = format!(r#"{{"l":{upto},"a":[1],"r":[[0,1]]}}"#);
+                self.write(&format!("salt/c/job-{job:06}/0"), Some(value));
+            }
+            _ if over => self.write(&format!("salt/c/job-{job:06}/0"), None),
+            _ => {}
+        }
+    }
+
+    fn job(&self, state: u64) -> String {
+        match state {
+            0 => r#"{"s":"done","t":0}"#.to_owned(),
+            1 => r#"{"s":"cancelled","t":0}"#.to_owned(),
+            _ => {
+                let change = cancelled_job(1);
+                let value = change.value.expect("a value").get().to_owned();
+                value.replace("cancelled", "active")
+            }
+        }
+    }
+
+    fn since(&self, revision: u64) -> Vec<RecordChange> {
+        let newer = self.changes.iter().filter(|c| c.revision > revision);
+        newer.cloned().collect()
+    }
+}
+
+/// What a controller answers users and takes over from the records, in an order of its own.
+fn summary(view: &View) -> Vec<String> {
+    let jobs = view.jobs.keys().map(|id| {
+        let (state, counts) = (view.state(id), view.counts(id));
+        format!("{id} {state:?} {counts:?}")
+    });
+    let blocks = view.blocks.iter().map(|block| format!("{block:?}"));
+    let log = view.log.iter().map(|(slot, s)| format!("{slot} {}", s.no));
+    let mut all: Vec<String> = jobs.chain(blocks).chain(log).collect();
+    all.sort();
+    all.push(format!("segment {}", view.last_segment));
+    all
+}
+
+/// After too many changes the records are listed page by page while they go on changing. With the changes
+/// since the first page, the copy is the same as that of a controller that followed all along.
+#[test]
+fn a_listing_in_pages_catches_up_with_changes_in_between() {
+    for seed in 0..40 {
+        let mut draw = Draw(seed);
+        let mut history = History::default();
+        let mut follower = controller(&[]);
+        for _ in 0..300 {
+            history.change(&mut draw);
+        }
+        follower.apply_changes(0, history.since(0), history.revision(), START, START);
+        let mut view = View::default();
+        let first_page = history.revision();
+        let mut after = String::new();
+        loop {
+            let later = (
+                std::ops::Bound::Excluded(after.clone()),
+                std::ops::Bound::Unbounded,
+            );
+            let rows = history.keys.range::<String, _>(later).take(7);
+            let page: Vec<(String, (u64, String))> =
+                rows.map(|(k, v)| (k.clone(), v.clone())).collect();
+            let Some((last, _)) = page.last() else { break };
+            after.clone_from(last);
+            for (key, (revision, value)) in &page {
+                view.put(key, &raw(value), *revision).expect("readable");
+            }
+            for _ in 0..draw.below(6) {
+                history.change(&mut draw);
+            }
+        }
+        view.rev = first_page;
+        let mut late = controller(&[]);
+        late.replace_records(view, START, START)
+            .expect("the present layout");
+        let from = late.view().rev;
+        late.apply_changes(from, history.since(from), history.revision(), START, START);
+        let from = follower.view().rev;
+        follower.apply_changes(from, history.since(from), history.revision(), START, START);
+        assert_eq!(late.view().rev, follower.view().rev, "seed {seed}");
+        assert_eq!(
+            summary(late.view()),
+            summary(follower.view()),
+            "seed {seed}"
+        );
+    }
+}
