--- a/crates/saltpitch-core/tests/controller.rs
+++ b/crates/saltpitch-core/tests/controller.rs
@@ -314,7 +314,8 @@
 
 impl History {
     fn revision(&self) -> u64 {
-        self.changes.last().map_or(0, |c| c.revision)
+        // The records of `controller` are as of revision 1.
+        self.changes.last().map_or(1, |c| c.revision)
     }
 
     fn write(&mut self, key: &str, value: Option<String>) {
@@ -409,7 +410,7 @@
         for _ in 0..300 {
             history.change(&mut draw);
         }
-        follower.apply_changes(0, history.since(0), history.revision(), START, START);
+        follower.apply_changes(1, history.since(1), history.revision(), START, START);
         let mut view = View::default();
         let first_page = history.revision();
         let mut after = String::new();
