Records: a module per subject, typed errors, stored names kept by serde attributes

Moves and renames only. records.rs becomes keys, stored values, tasks, returned machines, cancellations and the view; View::put has a function per kind of record; RecordError in place of strings. life becomes incarnation, quiet becomes earlier_silent_at, Gone becomes ReturnedMachines; the samples show that nothing stored or sent has changed. missing_docs is on for the modules controller, messages, images, leadership and records.

--- a/crates/saltpitch-core/src/controller/election.rs
+++ b/crates/saltpitch-core/src/controller/election.rs
@@ -105,7 +105,7 @@
             answers_until: lease_opened_at.plus(bound),
             acks: CancellationAcks::default(),
             previous: silence.previous,
-            earlier_silent_at: silence.elders_at,
+            earlier_silent_at: silence.earlier_at,
             unheard_since: None,
         });
         true
@@ -164,7 +164,7 @@
     pub(super) fn check_recorded_term(&mut self) {
         let (revision, record) = &self.view.term;
         let (revision, term) = (*revision, record.term);
-        let own = record.node == self.config.name && record.life == self.incarnation;
+        let own = record.node == self.config.name && record.incarnation == self.incarnation;
         if !own {
             return self.term_seen(term);
         }
@@ -234,8 +234,8 @@
         let record = TermRecord {
             term: leader.term + 1,
             node: self.config.name.clone(),
-            life: self.incarnation,
-            quiet: self.view.term.1.quiet,
+            incarnation: self.incarnation,
+            earlier_silent_at: self.view.term.1.earlier_silent_at,
         };
         let write = Write {
             key: TERM_KEY.to_owned(),
--- a/crates/saltpitch-core/src/controller/notice.rs
+++ b/crates/saltpitch-core/src/controller/notice.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use crate::leader::{Ignored, JobTimeline};
+use crate::records::RecordError;
 use crate::time::Micros;
 
 /// Why the leadership ended.
@@ -40,7 +41,7 @@
         /// Its key.
         key: String,
         /// What is wrong with it.
-        error: String,
+        error: RecordError,
     },
     /// The leadership ended.
     LeadershipLost {
--- a/crates/saltpitch-core/src/controller/peers.rs
+++ b/crates/saltpitch-core/src/controller/peers.rs
@@ -19,7 +19,7 @@
             node: self.config.name.clone(),
             term: term.term,
             term_owner: term.node.clone(),
-            term_incarnation: term.life,
+            term_incarnation: term.incarnation,
             is_leader: self.may_answer(now),
             store_reachable: store.reachable,
             redirected_workers: self.recently_redirected(now),
--- a/crates/saltpitch-core/src/controller/records.rs
+++ b/crates/saltpitch-core/src/controller/records.rs
@@ -127,12 +127,12 @@
         }
         let name = &self.config.name;
         let (expected_revision, known) = match self.view.nodes.get(name) {
-            Some((revision, record)) => (*revision, record.life),
+            Some((revision, record)) => (*revision, record.incarnation),
             None => (0, 0),
         };
         self.incarnation = self.incarnation.max(known + 1);
         let record = NodeRecord {
-            life: self.incarnation,
+            incarnation: self.incarnation,
         };
         Some(Announcement {
             incarnation: self.incarnation,
@@ -146,7 +146,7 @@
 
     /// Whether this process's incarnation is on record: the answer to the write may have been lost.
     pub fn confirm_announcement(&mut self, incarnation: u64, written: bool) -> bool {
-        let on_record = self.view.life(&self.config.name) == incarnation;
+        let on_record = self.view.incarnation_of(&self.config.name) == incarnation;
         self.announced = self.incarnation == incarnation && (written || on_record);
         self.announced
     }
@@ -166,7 +166,7 @@
     /// Who holds the recorded term, and in which incarnation.
     fn term_holder(&self) -> (String, u64) {
         let (_, term) = &self.view.term;
-        (term.node.clone(), term.life)
+        (term.node.clone(), term.incarnation)
     }
 
     fn job_changed(&mut self, id: &str, now: Micros, wall: Micros) {
@@ -186,7 +186,7 @@
 
     /// A newer incarnation of the previous leader proves that its process answers nobody.
     fn incarnation_changed(&mut self, name: &str, now: Micros) {
-        let incarnation = self.view.life(name);
+        let incarnation = self.view.incarnation_of(name);
         let Some(leadership) = &mut self.leadership else {
             return;
         };
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -23,7 +23,7 @@
 use crate::job::{JobSpec, JobState, Kind, Priority};
 use crate::policy::Policy;
 use crate::quota::{Quota, TeamLimits};
-use crate::records::{Gone, View};
+use crate::records::{ReturnedMachines, View};
 use crate::time::Micros;
 
 pub use capacity::{Refusal, Rented};
@@ -289,7 +289,7 @@
     narrow: bool,
     /// When the store refused changes for their number.
     throttles: VecDeque<Micros>,
-    gone_machines: Gone,
+    gone_machines: ReturnedMachines,
     log: commit::Log,
     leftovers: VecDeque<String>,
     txn: Option<commit::Pending>,
@@ -397,7 +397,7 @@
             looks: BTreeSet::new(),
             unsettled: BTreeSet::new(),
             final_jobs: BTreeSet::new(),
-            gone_machines: Gone::default(),
+            gone_machines: ReturnedMachines::default(),
             leftovers: VecDeque::new(),
             txn: None,
             paused: false,
--- a/crates/saltpitch-core/src/leadership.rs
+++ b/crates/saltpitch-core/src/leadership.rs
@@ -16,25 +16,27 @@
 const BID: Micros = Micros::from_secs(4);
 
 /// Whether the leadership can be taken by this process as far as its records say: nobody holds it,
-/// or an earlier life of this same node does, which is proven over by this one.
-pub fn vacant(view: &View, me: &str, life: u64) -> bool {
+/// or an earlier incarnation of this same node does, which is proven over by this one.
+pub fn vacant(view: &View, me: &str, incarnation: u64) -> bool {
     match &view.leader {
         None => true,
-        Some(l) => l.1.node == me && l.1.life < life,
+        Some(l) => l.1.node == me && l.1.incarnation < incarnation,
     }
 }
 
 /// One try at the leadership: what to write and on what conditions, and who led before.
 #[derive(Clone, Debug)]
 pub struct Bid {
+    /// The term that it takes.
     pub term: u64,
+    /// Conditions of the transaction: keys and their revisions.
     pub when: Vec<(String, u64)>,
     /// The write of [`LEADER_KEY`] is to be attached to the hold.
     pub writes: Vec<Write>,
     /// The leader before, if it is not proven gone.
     previous: Option<(String, u64)>,
     /// On the steady clock: from then on the leaders before that one answer nobody.
-    elders_at: Micros,
+    earlier_at: Micros,
 }
 
 /// From when on no earlier leader can answer a worker.
@@ -42,7 +44,9 @@
 pub struct Silence {
     /// The leader before, if it is not proven gone.
     pub previous: Option<(String, u64)>,
-    pub elders_at: Micros,
+    /// When the leaders before that one are silent.
+    pub earlier_at: Micros,
+    /// When all of them are.
     pub all_at: Micros,
 }
 
@@ -54,34 +58,34 @@
 /// long after the store renewed their hold, which it did before it took the next term, or after each
 /// other node gave its word, and this node's word would have named the term that it had seen. So
 /// this holds however late that term's transaction was carried out, and through any number of
-/// successions. `quiet` in the record says the same for versions that go by it.
+/// successions. `earlier_silent_at` on record says the same for versions that go by it.
 pub fn bid(
     view: &View,
     me: &str,
-    life: u64,
+    incarnation: u64,
     bound: Micros,
     wall: Micros,
     term_seen: Micros,
 ) -> Option<Bid> {
-    if !vacant(view, me, life) {
+    if !vacant(view, me, incarnation) {
         return None;
     }
     let (term_rev, old) = &view.term;
     let previous = (*term_rev > 0)
-        .then(|| (old.node.clone(), old.life))
-        .filter(|(name, life)| view.life(name) <= *life);
+        .then(|| (old.node.clone(), old.incarnation))
+        .filter(|(name, incarnation)| view.incarnation_of(name) <= *incarnation);
     let term = TermRecord {
         term: old.term + 1,
         node: me.to_owned(),
-        life,
-        quiet: match previous {
-            Some(_) => old.quiet.max(wall.plus(bound).plus(BID)),
-            None => old.quiet,
+        incarnation,
+        earlier_silent_at: match previous {
+            Some(_) => old.earlier_silent_at.max(wall.plus(bound).plus(BID)),
+            None => old.earlier_silent_at,
         },
     };
     let leader = LeaderRecord {
         node: me.to_owned(),
-        life,
+        incarnation,
         term: term.term,
     };
     let leader_rev = view.leader.as_ref().map_or(0, |l| l.0);
@@ -102,7 +106,7 @@
             },
         ],
         previous,
-        elders_at: if old.term > 1 {
+        earlier_at: if old.term > 1 {
             term_seen.plus(bound)
         } else {
             Micros::ZERO
@@ -119,26 +123,26 @@
         }
         let previous = self
             .previous
-            .filter(|(name, life)| view.life(name) <= *life);
-        let elders_at = now.max(self.elders_at);
+            .filter(|(name, incarnation)| view.incarnation_of(name) <= *incarnation);
+        let earlier_at = now.max(self.earlier_at);
         let all_at = match &previous {
-            Some(_) => elders_at.max(now.plus(bound)),
-            None => elders_at,
+            Some(_) => earlier_at.max(now.plus(bound)),
+            None => earlier_at,
         };
         Some(Silence {
             previous,
-            elders_at,
+            earlier_at,
             all_at,
         })
     }
 }
 
-/// What a leader writes that gives way: the office is free, and a new life of this node proves that
+/// What a leader writes that gives way: the office is free, and a new incarnation of this node proves that
 /// the one that led answers nobody any more.
 pub fn resignation(
     view: &View,
     me: &str,
-    life: u64,
+    incarnation: u64,
     term_rev: u64,
 ) -> (Vec<(String, u64)>, Vec<Write>) {
     let key = node_key(me);
@@ -150,7 +154,7 @@
         },
         Write {
             key: key.clone(),
-            value: serde_json::to_string(&NodeRecord { life }).ok(),
+            value: serde_json::to_string(&NodeRecord { incarnation }).ok(),
         },
     ];
     (
--- a/crates/saltpitch-core/src/lib.rs
+++ b/crates/saltpitch-core/src/lib.rs
@@ -5,18 +5,23 @@
 
 pub mod catalog;
 pub mod cluster;
+#[warn(missing_docs)]
 pub mod controller;
 pub mod fleet;
 pub mod gang;
+#[warn(missing_docs)]
 pub mod images;
 pub mod job;
 pub mod leader;
+#[warn(missing_docs)]
 pub mod leadership;
+#[warn(missing_docs)]
 pub mod messages;
 pub mod placement;
 pub mod policy;
 pub mod preemption;
 pub mod quota;
+#[warn(missing_docs)]
 pub mod records;
 pub mod time;
 
--- /dev/null
+++ b/crates/saltpitch-core/src/records/mod.rs
@@ -0,0 +1,37 @@
+//! What the state service holds, and a controller's copy of it.
+//!
+//! All keys share one prefix and every controller follows them with one watch, so that whoever sees a
+//! job has also seen each earlier change of term.
+
+mod cancellations;
+mod keys;
+mod returned;
+mod stored;
+mod tasks;
+mod view;
+
+use serde_json::value::RawValue;
+
+pub use cancellations::{AckCursor, CancellationAck, Cancellations};
+pub use keys::{
+    block_key, chunk_key, job_id, job_key, log_key, node_key, BLOCK, CATALOG_KEY, CHUNK,
+    LEADER_KEY, PREFIX, TERM_KEY,
+};
+pub use returned::ReturnedMachines;
+pub use stored::{
+    BlockRecord, ChunkRecord, Entry, JobRecord, LeaderRecord, LogRecord, MachineRecord, NodeRecord,
+    PlaceRecord, TermRecord,
+};
+pub use tasks::{Checkpoint, Segment, TaskState, TaskStates};
+pub use view::{Change, JobEntry, RecordError, View};
+
+/// A change of one key in the state service, or one row of a listing.
+#[derive(Clone, Debug)]
+pub struct RecordChange {
+    /// The key that changed.
+    pub key: String,
+    /// The new value; `None` if the key was deleted.
+    pub value: Option<Box<RawValue>>,
+    /// The revision of the change.
+    pub revision: u64,
+}
--- /dev/null
+++ b/crates/saltpitch-core/src/records/stored.rs
@@ -0,0 +1,178 @@
+//! The values in the state service, as they are serialised.
+//!
+//! Names of fields and variants and the order of tuples are a published format. A new field is optional
+//! and left out while it is not used; a Rust name may change as long as its serde name stays.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::CHUNK;
+use crate::job::{JobSpec, JobState};
+use crate::time::Micros;
+
+/// The token's counter. Its revision is the condition of every write of a leader.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TermRecord {
+    /// The token of the present leader; only ever raised.
+    pub term: u64,
+    /// The controller that took this term.
+    pub node: String,
+    /// The incarnation of its process.
+    #[serde(rename = "life")]
+    pub incarnation: u64,
+    /// Time of day from which no leader before this one can answer a worker. It is handed on, so
+    /// that a leader who was cut off is still waited for when two others came after it.
+    #[serde(rename = "quiet", default)]
+    pub earlier_silent_at: Micros,
+}
+
+/// The present leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    /// Its name.
+    pub node: String,
+    /// The incarnation of its process.
+    #[serde(rename = "life")]
+    pub incarnation: u64,
+    /// The term that it took.
+    pub term: u64,
+}
+
+/// Written by each process when it starts, and by a leader that resigns: a newer life proves that
+/// the older one answers nobody.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// The newest incarnation of the controller's process.
+    #[serde(rename = "life")]
+    pub incarnation: u64,
+}
+
+/// A job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Where it stands.
+    #[serde(rename = "s")]
+    pub state: JobState,
+    /// Time of day of the submission.
+    #[serde(rename = "t", default)]
+    pub submitted: Micros,
+    /// ReturnedMachines once the job is over and none of its tasks is left.
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+    pub spec: Option<Arc<JobSpec>>,
+    /// Time of day at which a job was found done, from which the times of jobs that need it count.
+    /// Left out otherwise; earlier versions don't know the field.
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    pub finished: Option<Micros>,
+}
+
+impl JobRecord {
+    /// An accepted job.
+    pub fn accepted(submitted: Micros, spec: Arc<JobSpec>) -> JobRecord {
+        JobRecord {
+            state: JobState::Active,
+            submitted,
+            spec: Some(spec),
+            finished: None,
+        }
+    }
+
+    /// Leaves out what is of no use any more once the job is cancelled: where it might have run, and
+    /// what it needed.
+    pub fn shorten(&mut self) {
+        if let Some(spec) = &mut self.spec {
+            let spec = Arc::make_mut(spec);
+            spec.types = None;
+            spec.needs = Vec::new();
+        }
+    }
+
+    /// A job that is over, with none of its tasks left.
+    pub fn over(state: JobState, finished: Option<Micros>) -> JobRecord {
+        JobRecord {
+            state,
+            submitted: Micros::ZERO,
+            spec: None,
+            finished,
+        }
+    }
+}
+
+/// Where one task may be.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlaceRecord(pub u32, pub String, pub u64);
+
+/// The state of up to [`CHUNK`] tasks of a job: a checkpoint of what the log says of them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ChunkRecord {
+    /// The log's segment up to which this holds.
+    #[serde(rename = "l", default)]
+    pub upto: u64,
+    /// Highest attempt used, per task.
+    #[serde(rename = "a")]
+    pub attempts: Vec<u32>,
+    /// Completed tasks, as runs: first task and how many.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub done: Vec<(u32, u32)>,
+    /// (task within the chunk, machine, session)
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub places: Vec<PlaceRecord>,
+}
+
+impl ChunkRecord {
+    /// Adds a completed task; tasks come in order.
+    pub fn add_done(&mut self, task: u32) {
+        match self.done.last_mut() {
+            Some((first, n)) if *first + *n == task => *n += 1,
+            _ => self.done.push((task, 1)),
+        }
+    }
+
+    /// The completed tasks, by their number within the chunk.
+    pub fn done_tasks(&self) -> impl Iterator<Item = u32> + '_ {
+        self.done
+            .iter()
+            .flat_map(|(first, n)| *first..first.saturating_add((*n).min(CHUNK)))
+    }
+}
+
+/// What became of one task: its number, attempt, machine and session (empty: nowhere), and whether
+/// it has completed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry(pub u32, pub u32, pub String, pub u64, pub u8);
+
+/// A segment of the log: changes of any number of jobs in one value, since changes of keys are
+/// scarce. Segments are written to a ring of keys; one is overwritten only when checkpoints hold
+/// whatever it said of jobs that are not over.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LogRecord {
+    /// Its number; numbers only grow.
+    #[serde(rename = "n")]
+    pub no: u64,
+    /// Entries by job.
+    #[serde(rename = "e")]
+    pub entries: Vec<(String, Vec<Entry>)>,
+}
+
+/// One machine of a block: name, address, and whether its return to the cloud is intended (nothing
+/// is placed on it again), and the time of day at which it was rented or first seen.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord(pub String, pub String, pub bool, pub Micros);
+
+/// Machines of one type, zone and kind. Thousands of machines come and go while changes are scarce,
+/// so many share a record.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BlockRecord {
+    /// Type of its machines.
+    #[serde(rename = "t")]
+    pub type_name: String,
+    /// Their zone.
+    #[serde(rename = "z")]
+    pub zone: String,
+    /// Whether they are spot machines.
+    #[serde(rename = "s", default)]
+    pub spot: bool,
+    /// The machines.
+    #[serde(rename = "m")]
+    pub machines: Vec<MachineRecord>,
+}
--- /dev/null
+++ b/crates/saltpitch-core/src/records/tasks.rs
@@ -0,0 +1,74 @@
+//! What the records say of tasks: the newest of the log's segments and the checkpoints counts.
+
+use crate::job::MAX_TASKS;
+
+/// A task as the newest record of it says.
+#[derive(Clone, Debug, Default)]
+pub struct TaskState {
+    /// The segment that said so.
+    pub(super) segment: u64,
+    /// The newest attempt.
+    pub attempt: u32,
+    /// Whether it has completed.
+    pub done: bool,
+    /// Machine and session.
+    pub place: Option<Box<(String, u64)>>,
+}
+
+/// The tasks of a job, as far as anything is on record of them.
+#[derive(Clone, Debug, Default)]
+pub struct TaskStates {
+    /// By the task's number.
+    pub tasks: Vec<TaskState>,
+    pub(super) running: u32,
+    pub(super) done: u32,
+}
+
+impl TaskStates {
+    /// Whatever comes late or twice, the newest segment's entry stays. Returns the machine and
+    /// the session in which the task has just completed.
+    pub(super) fn set(&mut self, task: u32, new: TaskState) -> Option<(String, u64)> {
+        let at = task as usize;
+        if at >= self.tasks.len() {
+            if task >= MAX_TASKS {
+                return None;
+            }
+            self.tasks.resize(at + 1, TaskState::default());
+        }
+        let old = &mut self.tasks[at];
+        if new.segment < old.segment {
+            return None;
+        }
+        self.running =
+            self.running + u32::from(new.place.is_some()) - u32::from(old.place.is_some());
+        self.done = self.done + u32::from(new.done) - u32::from(old.done);
+        let completed = new.done && !old.done;
+        let before = std::mem::replace(old, new);
+        before.place.filter(|_| completed).map(|place| *place)
+    }
+
+    /// The machines and sessions in which tasks are placed.
+    pub(super) fn places(&self) -> impl Iterator<Item = &(String, u64)> {
+        self.tasks.iter().filter_map(|t| t.place.as_deref())
+    }
+}
+
+/// What a view keeps of a segment: its revision, its number, and the chunks that it speaks of.
+#[derive(Clone, Debug)]
+pub struct Segment {
+    /// Its revision.
+    pub rev: u64,
+    /// Its number.
+    pub no: u64,
+    /// The chunks, by job and number.
+    pub chunks: Vec<(String, u32)>,
+}
+
+/// What a view keeps of a chunk's record: its revision, and up to which segment it holds.
+#[derive(Clone, Copy, Debug)]
+pub struct Checkpoint {
+    /// Its revision.
+    pub rev: u64,
+    /// The last segment that it holds.
+    pub upto: u64,
+}
--- a/crates/saltpitch-core/tests/directed.rs
+++ b/crates/saltpitch-core/tests/directed.rs
@@ -154,8 +154,8 @@
         let term = TermRecord {
             term: 5,
             node: "n0".to_owned(),
-            life: 1,
-            quiet: Micros::ZERO,
+            incarnation: 1,
+            earlier_silent_at: Micros::ZERO,
         };
         put(&mut view, TERM_KEY, &term, 1);
         build(&mut view);
--- a/crates/saltpitch-core/tests/limits.rs
+++ b/crates/saltpitch-core/tests/limits.rs
@@ -122,8 +122,8 @@
         let term = TermRecord {
             term: 5,
             node: "n0".to_owned(),
-            life: 1,
-            quiet: Micros::ZERO,
+            incarnation: 1,
+            earlier_silent_at: Micros::ZERO,
         };
         let mut keys = BTreeMap::new();
         let mut view = View::default();
--- a/crates/saltpitch-core/tests/record_samples.rs
+++ b/crates/saltpitch-core/tests/record_samples.rs
@@ -133,12 +133,12 @@
     let term = TermRecord {
         term: 4,
         node: "n1".to_owned(),
-        life: 9,
-        quiet: TIME,
+        incarnation: 9,
+        earlier_silent_at: TIME,
     };
     let leader = LeaderRecord {
         node: "n1".to_owned(),
-        life: 9,
+        incarnation: 9,
         term: 4,
     };
     let cancelled = JobRecord {
@@ -184,7 +184,7 @@
     vec![
         row(TERM_KEY, &term),
         row(LEADER_KEY, &leader),
-        row(node_key("n1"), &NodeRecord { life: 9 }),
+        row(node_key("n1"), &NodeRecord { incarnation: 9 }),
         row(CATALOG_KEY, &catalog),
         row(job_key("job-000001"), &accepted(gang_spec())),
         row(job_key("job-000004"), &accepted(waiting_array_spec())),
@@ -235,9 +235,9 @@
 #[test]
 fn records_of_production_are_read() {
     let view = view_of(&samples(PRODUCTION));
-    assert_eq!((view.term.1.term, view.term.1.quiet), (4, TIME));
-    assert_eq!(view.leader.as_ref().map(|l| l.1.life), Some(9));
-    assert_eq!(view.life("n1"), 9);
+    assert_eq!((view.term.1.term, view.term.1.earlier_silent_at), (4, TIME));
+    assert_eq!(view.leader.as_ref().map(|l| l.1.incarnation), Some(9));
+    assert_eq!(view.incarnation_of("n1"), 9);
     assert_eq!(
         view.catalog.as_ref().map(|c| c.1.types[0].boot),
         Some(Micros::from_secs(45))
@@ -264,7 +264,7 @@
 fn records_from_before_pipelines_are_read() {
     let view = view_of(&samples(BEFORE_PIPELINES));
     assert_eq!(view.term.1.term, 4);
-    assert_eq!(view.life("n1"), 9);
+    assert_eq!(view.incarnation_of("n1"), 9);
     let job = &view.jobs["job-000001"].record;
     assert_eq!(job.spec.as_deref(), Some(&gang_spec()));
     assert_eq!(view.state("job-000002"), Some(JobState::Done));
