--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -7,128 +7,40 @@
 mod consolidate;
 mod evidence;
 mod faults;
+mod interface;
 mod jobs;
 mod pipeline;
 mod rules;
 mod schedule;
+mod start;
+mod tasks;
 mod watch;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
-use crate::catalog::{Catalog, MachineType, Res};
-use crate::cluster::{JobNo, Machine, Order, Phase};
+use crate::catalog::{Catalog, Res};
+use crate::cluster::{JobNo, Machine, Phase};
 use crate::fleet::Fleet;
 use crate::gang::Gang;
 use crate::job::{JobSpec, JobState, Kind, Priority};
-use crate::policy::Policy;
-use crate::quota::{Quota, TeamLimits};
-use crate::records::{ReturnedMachines, View};
+use crate::quota::Quota;
+use crate::records::ReturnedMachines;
 use crate::time::Micros;
 
 pub use capacity::{Refusal, Rented};
 pub use commit::Outcome;
 pub use evidence::{Ignored, ListedMachine, Ordered};
 pub use faults::Fault;
+pub use interface::{Aim, Config, Effect, Objective, Write};
 pub use jobs::JobTimeline;
 
-/// What the settings say, as far as the core needs it.
-#[derive(Clone, Debug)]
-pub struct Config {
-    pub report: Micros,
-    pub lease: Micros,
-    pub gang_peer: Micros,
-    pub cancel: Micros,
-    /// Controllers in all.
-    pub nodes: usize,
-    /// Direct orders, and probes, that may be under way at a time: they must not crowd out reports
-    /// and users, and yet reach the many machines that may be lost at once.
-    pub calls: usize,
-    pub txn_ops: usize,
-    /// Changes a second that a leader may write.
-    pub write_rate: f64,
-    /// The same once the store's next limits are in force.
-    pub next_write_rate: f64,
-    /// The smaller of the store's present and next limits: nothing larger is written.
-    pub value_bytes: usize,
-    /// Rentals a second that a leader may ask the cloud for; twice as many at once.
-    pub rent_rate: f64,
-    /// Keys that the log's segments go round in: at ten segments a second, most batch jobs should
-    /// be over before what was said of them has to be said again in a checkpoint.
-    pub log_ring: u64,
-    /// Bytes that one transaction may hold, with room to spare.
-    pub txn_bytes: usize,
-    pub teams: Vec<TeamLimits>,
-    pub objectives: Vec<Objective>,
-    /// Work within a team's guarantee is to be started within this time.
-    pub guarantee_within: Micros,
-    pub policy: Policy,
-}
-
-/// What is expected of a class of jobs.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Objective {
-    pub class: String,
-    pub aim: Aim,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Aim {
-    /// Started within this time.
-    Wait(Micros),
-    /// Done within this time.
-    Finished(Micros),
-    /// Done by this many times the job's own deadline.
-    Deadline(f64),
-}
-
 /// A leader whose loops did not run for this long stood still, and so did its reading of reports.
 const STOOD_STILL: Micros = Micros::from_secs(2);
 
 /// How fast production's past demand fades from the estimate of what is to come.
 const FADE: Micros = Micros::from_secs(60);
 
-/// One write of a transaction; no value deletes the key.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Write {
-    pub key: String,
-    pub value: Option<String>,
-}
-
-/// What the shell round the core is to do.
-#[derive(Clone, Debug)]
-pub enum Effect {
-    /// Answer with [`Leader::committed`].
-    Txn {
-        when: Vec<(String, u64)>,
-        writes: Vec<Write>,
-    },
-    /// Read the records anew and answer with [`Leader::refreshed`].
-    Refresh,
-    /// Answer with [`Leader::ordered`].
-    Orders {
-        machine: Arc<str>,
-        addr: String,
-        session: u64,
-        token: u64,
-        orders: Vec<Order>,
-    },
-    /// Ask a machine for its report; what it says goes to [`Leader::heard_directly`].
-    Probe { machine: Arc<str>, addr: String },
-    /// Answer with [`Leader::rented`].
-    Rent {
-        request: String,
-        type_name: String,
-        zone: String,
-        spot: bool,
-        count: u32,
-    },
-    /// Answer with [`Leader::returned`].
-    Return { names: Vec<Arc<str>> },
-    /// Take the next term, to end doubts about starts that may still be under way.
-    RaiseTerm,
-}
-
 /// A place that a task has, or is assumed to have.
 #[derive(Clone, Debug)]
 pub(crate) struct Place {
@@ -356,128 +268,6 @@
 }
 
 impl Leader {
-    /// Takes over with what the records say. `old_silent_at`: from then on no earlier leader can
-    /// answer a worker.
-    pub fn new(
-        cfg: Config,
-        view: &View,
-        catalog: Arc<Catalog>,
-        old_silent_at: Micros,
-        now: Micros,
-        wall: Micros,
-    ) -> Leader {
-        let rent_pace = commit::Pace::new(cfg.rent_rate, now);
-        let mut l = Leader {
-            quota: Quota::new(cfg.teams.clone()),
-            pace: commit::Pace::new(cfg.write_rate, now),
-            dirty: commit::Dirty::default(),
-            blocks: blocks::Blocks::new(view, &cfg),
-            narrow: false,
-            throttles: VecDeque::new(),
-            log: commit::Log::new(view, &cfg),
-            cfg,
-            term: view.term.1.term,
-            term_rev: view.term.0,
-            office_term: view.term.1.term,
-            old_silent_at,
-            catalog,
-            jobs: BTreeMap::new(),
-            by_id: HashMap::new(),
-            called_off: HashSet::new(),
-            dependents: HashMap::new(),
-            next_job: 1,
-            machines: BTreeMap::new(),
-            fleet: Fleet::default(),
-            classes: Vec::new(),
-            by_age: BTreeSet::new(),
-            open: BTreeSet::new(),
-            at_barrier: BTreeSet::new(),
-            empty: BTreeSet::new(),
-            coming: BTreeSet::new(),
-            looks: BTreeSet::new(),
-            unsettled: BTreeSet::new(),
-            final_jobs: BTreeSet::new(),
-            gone_machines: ReturnedMachines::default(),
-            leftovers: VecDeque::new(),
-            txn: None,
-            paused: false,
-            refresh_out: false,
-            next_txn: Micros::ZERO,
-            push: BTreeSet::new(),
-            push_later: BTreeSet::new(),
-            orders_out: 0,
-            probes_out: 0,
-            last_heard: Micros::ZERO,
-            last_report: Micros::ZERO,
-            schedule_wanted: true,
-            kept_for: Vec::new(),
-            waited_at: now,
-            demand: (0.0, now),
-            searches: 0,
-            next_schedule: now,
-            next_tick: now,
-            next_plan: now,
-            effects: Vec::new(),
-            raise_out: false,
-            rents: Vec::new(),
-            rent_pace,
-            rents_asked: HashMap::new(),
-            next_request: 1,
-            refusals: HashMap::new(),
-            drain: Micros::from_secs(90),
-            gpu_needs: HashSet::new(),
-            gpu_asked: Micros::ZERO,
-            batch_placed: 0.0,
-            steps: 0,
-            log_state: faults::LogState::default(),
-            ended: VecDeque::new(),
-            open_zones: BTreeSet::new(),
-            wall_offset: wall.since(now),
-            awake_since: now,
-            polled_at: now,
-            took_office: now,
-        };
-        for (no, (_, block)) in &view.blocks {
-            // A type that is no longer offered still holds what it holds: no room, but evidence.
-            let kind = l.catalog.get(&block.type_name).cloned();
-            let kind = Arc::new(kind.unwrap_or_else(|| MachineType::unknown(&block.type_name)));
-            let zone: Arc<str> = block.zone.as_str().into();
-            for rec in &block.machines {
-                let mut m =
-                    Machine::new(&rec.0, kind.clone(), zone.clone(), block.spot, &rec.1, now);
-                m.recorded = true;
-                m.block = Some(*no);
-                m.born = now.since(wall.since(rec.3));
-                if rec.2 {
-                    m.phase = Phase::Returning(true);
-                }
-                if let Some(first) = l.machines.get_mut(&m.name) {
-                    let from = first.block.replace(*no);
-                    if let Some(from) = from.filter(|f| f != no) {
-                        l.blocks
-                            .moved(&m.name, from, now.plus(Micros::from_secs(1)));
-                    }
-                    continue;
-                }
-                l.add_machine(m);
-                l.recall_images(&rec.0, view, now);
-            }
-        }
-        let mut ids: Vec<&String> = view.jobs.keys().collect();
-        ids.sort();
-        for id in ids {
-            l.job_changed(view, id, now, wall);
-        }
-        l.log.recall(view, &l.by_id);
-        for (id, chunks) in &view.chunks {
-            if !l.by_id.contains_key(id.as_str()) {
-                l.leftovers
-                    .extend(chunks.keys().map(|c| crate::records::chunk_key(id, *c)));
-            }
-        }
-        l
-    }
-
     pub fn term_rev(&self) -> u64 {
         self.term_rev
     }
@@ -523,21 +313,6 @@
         self.machines.insert(name, m);
     }
 
-    /// What the records prove of a machine's cache, for a leader that has never heard of the machine.
-    fn recall_images(&mut self, name: &str, view: &View, now: Micros) {
-        let (Some(cache), Some(m)) = (view.images.of(name), self.machines.get_mut(name)) else {
-            return;
-        };
-        m.recalled_session = Some(cache.session);
-        let count = cache.images.len() as u64;
-        for (i, image) in cache.images.iter().enumerate() {
-            // In the order of their use, and all before this leader's own time.
-            let used_at = now.since(Micros(count - i as u64));
-            let (came, went) = m.use_image(&image.name, image.size_mb, used_at);
-            self.fleet.images(&m.zone, &came, &went);
-        }
-    }
-
     /// The machine is proven gone; nothing is on it any more.
     fn drop_machine(&mut self, name: &Arc<str>, now: Micros) {
         let Some(mut m) = self.machines.remove(name) else {
@@ -577,191 +352,6 @@
         self.unsettled.insert(name.clone());
     }
 
-    /// Records a place in memory: its room is held from now on.
-    #[allow(clippy::too_many_arguments)]
-    fn hold(
-        &mut self,
-        no: JobNo,
-        task: u32,
-        machine: Arc<str>,
-        session: u64,
-        attempt: u32,
-        committed: bool,
-        now: Micros,
-    ) {
-        let (Some(job), Some(m)) = (self.jobs.get_mut(&no), self.machines.get_mut(&machine)) else {
-            return;
-        };
-        let t = &mut job.tasks[task as usize];
-        t.attempt = attempt;
-        t.place = Some(Box::new(Place {
-            machine: machine.clone(),
-            session,
-            attempt,
-            committed,
-            in_txn: false,
-            seen: Seen::No,
-            sent_seq: 0,
-            // A leader before us may have sent it; its doubts end with our token.
-            sent: committed,
-            since: now,
-            running_since: None,
-            stop: None,
-        }));
-        job.idle.remove(&task);
-        if job.idle.is_empty() {
-            self.open.remove(&no);
-        }
-        job.placed += 1;
-        // What is assumed at the gang barrier may have to be given back.
-        if committed || job.spec.kind != Kind::Gang {
-            job.served_at = now;
-        }
-        job.started |= job.idle.is_empty();
-        *job.zones.entry(m.zone.clone()).or_default() += 1;
-        m.holds.insert((no, task));
-        m.used = m.used.plus(&job.spec.need);
-        if committed {
-            // What an earlier session says is older than this.
-            m.session = m.session.max(session);
-            self.unsettled.insert(machine.clone());
-        }
-        if job.spec.kind == Kind::Array {
-            self.batch_placed += batch_seconds(&job.spec);
-        } else {
-            m.steady_cpu += job.spec.need.cpu;
-        }
-        self.quota.add(job.team, &job.spec.need);
-        self.fleet.loaded(m, job.spec.priority, true);
-        self.fleet.update(m);
-        self.empty.remove(&machine);
-    }
-
-    /// A task's place is proven to be free, or was never sent.
-    fn clear(&mut self, no: JobNo, task: u32, now: Micros) {
-        let Some(job) = self.jobs.get_mut(&no) else {
-            return;
-        };
-        let Some(place) = job.tasks[task as usize].place.take() else {
-            return;
-        };
-        job.placed -= 1;
-        if !place.committed && !place.sent && job.tasks[task as usize].attempt == place.attempt {
-            // Never sent: the number was not used.
-            job.tasks[task as usize].attempt -= 1;
-        }
-        if !job.tasks[task as usize].done {
-            job.idle.insert(task);
-            if job.active() {
-                self.open.insert(no);
-            }
-        }
-        self.quota.remove(job.team, &job.spec.need);
-        if job.spec.kind == Kind::Array {
-            self.batch_placed -= batch_seconds(&job.spec);
-        }
-        if let Some(m) = self.machines.get_mut(&place.machine) {
-            if let Some(n) = job.zones.get_mut(&m.zone) {
-                *n -= 1;
-                if *n == 0 {
-                    let zone = m.zone.clone();
-                    job.zones.remove(&zone);
-                }
-            }
-            m.holds.remove(&(no, task));
-            m.used = m.used.minus(&job.spec.need);
-            if job.spec.kind != Kind::Array {
-                m.steady_cpu = m.steady_cpu.saturating_sub(job.spec.need.cpu);
-            }
-            if job.spec.need.gpu > 0 || m.kind.size.gpu == 0 {
-                m.wanted_at = now;
-            }
-            if m.holds.is_empty() {
-                m.idle_since = now;
-                self.empty.insert(place.machine.clone());
-            }
-            self.fleet.loaded(m, job.spec.priority, false);
-            self.fleet.update(m);
-        }
-        // In doubt, the record is written again: it must not keep a place that memory has dropped.
-        if place.committed || place.in_txn {
-            self.dirty.outcome(no, task, now);
-        }
-        self.schedule_wanted = true;
-    }
-
-    /// Stops every placed task of a job; those whose start was never sent are dropped at once.
-    fn stop_all(&mut self, no: JobNo, grace: Micros, now: Micros) {
-        let Some(job) = self.jobs.get(&no) else {
-            return;
-        };
-        let placed: Vec<u32> = (0..job.spec.tasks)
-            .filter(|t| job.tasks[*t as usize].place.is_some())
-            .collect();
-        for t in placed {
-            self.stop(no, t, grace, now);
-        }
-    }
-
-    fn stop(&mut self, no: JobNo, task: u32, grace: Micros, now: Micros) {
-        let Some(place) = self
-            .jobs
-            .get_mut(&no)
-            .and_then(|j| j.tasks[task as usize].place.as_mut())
-        else {
-            return;
-        };
-        if !place.sent {
-            self.clear(no, task, now);
-            return;
-        }
-        let sooner = place.stop.is_none_or(|s| grace < s.grace);
-        if sooner {
-            let since = place.stop.map_or(now, |s| s.since);
-            place.stop = Some(Stop { grace, since });
-        }
-        let name = place.machine.clone();
-        self.call(&name);
-    }
-
-    /// Marks a job that is over, and of which nothing is left on any machine, for its final record.
-    fn check_complete(&mut self, no: JobNo) {
-        let Some(job) = self.jobs.get(&no) else {
-            return;
-        };
-        let over = match job.state {
-            JobState::Cancelled => job.placed == 0,
-            _ => job.complete() && job.placed == 0,
-        };
-        if over {
-            self.close(no);
-            self.final_jobs.insert(no);
-        }
-    }
-
-    /// A task ended with its result kept.
-    fn task_done(&mut self, no: JobNo, task: u32, now: Micros) {
-        let Some(job) = self.jobs.get_mut(&no) else {
-            return;
-        };
-        if job.spec.kind == Kind::Service {
-            return;
-        }
-        let t = &mut job.tasks[task as usize];
-        if !t.done {
-            t.done = true;
-            job.done += 1;
-            if job.done == job.spec.tasks {
-                job.done_at = Some(now);
-            }
-            job.idle.remove(&task);
-            if job.idle.is_empty() {
-                self.open.remove(&no);
-            }
-            self.dirty.outcome(no, task, now);
-        }
-    }
-
     /// The estimate of a task's run time, corrected by what was seen of its class.
     fn estimate(&self, job: &Job) -> Micros {
         let ratio = self.classes.get(job.class).map_or(1.0, |c| c.ratio);
