Delegations in the core's records and a crate for the cells' state machines, not wired in yet

Need: work of one cell shall run in another without ever being owned by both. Change: optional fields of the job's and the controller's record, left out while unused; jobs with another cell are in no queue; saltpitch-cells decides what is offered, asked for, taken back and written, and which guests are taken.

--- /dev/null
+++ b/crates/saltpitch-cells/src/home/offers.rs
@@ -0,0 +1,241 @@
+//! Which jobs are lent, and which are fetched back.
+
+use std::sync::Arc;
+
+use saltpitch_core::controller::LendingAccess;
+use saltpitch_core::job::JobSpec;
+use saltpitch_core::leader::LendingCandidate;
+use saltpitch_core::records::{Delegation, DelegationState, JobRecord, View, TERM_KEY};
+use saltpitch_core::Micros;
+
+use super::{open_delegation, CellEffect, Delegator, Tracked, Transition};
+use crate::ids;
+use crate::link::{HostStatus, LinkRequest};
+use crate::notice::Notice;
+use crate::settings::LendSettings;
+
+/// Jobs that a neighbour may have been offered without having accepted them, at most: what a link that is
+/// cut at this moment can keep from both cells.
+const MAX_UNACCEPTED: usize = 2;
+/// Candidates that are looked at in one pass.
+const MAX_CANDIDATES: usize = 64;
+
+/// What a neighbour has of this cell's jobs.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lent {
+    jobs: usize,
+    tasks: u64,
+    unaccepted: usize,
+}
+
+impl Lent {
+    fn add(&mut self, spec: &JobSpec, accepted: bool) {
+        self.jobs += 1;
+        self.tasks += u64::from(spec.tasks);
+        self.unaccepted += usize::from(!accepted);
+    }
+}
+
+impl Delegator {
+    /// Offers jobs that have waited for long, as far as the neighbours take them.
+    pub(super) fn plan_offers(&mut self, access: &mut LendingAccess<'_>, now: Micros) {
+        let Some(announcements) = access.announcements.clone() else {
+            return;
+        };
+        for neighbour in 0..self.neighbours.len() {
+            let after = self.neighbours[neighbour].settings.after();
+            let mut lent = self.lent_to(&self.neighbours[neighbour].name, access.view);
+            let candidates = access.leader.lending_candidates(after, MAX_CANDIDATES, now);
+            for candidate in candidates {
+                if !self.lends(neighbour, &candidate, lent, access.view, now) {
+                    continue;
+                }
+                self.neighbours[neighbour].link.wants_up();
+                if !self.neighbours[neighbour].link.takes_offers(now) {
+                    break;
+                }
+                let rate = self.neighbours[neighbour].settings.changes_per_s;
+                if !self.writes.take_credit(rate, now) {
+                    break;
+                }
+                if self.offer(neighbour, &candidate, access, &announcements) {
+                    lent.add(&candidate.spec, false);
+                }
+            }
+        }
+    }
+
+    /// Whether this job goes to this neighbour, as far as home can tell.
+    fn lends(
+        &self,
+        neighbour: usize,
+        candidate: &LendingCandidate,
+        lent: Lent,
+        view: &View,
+        now: Micros,
+    ) -> bool {
+        let settings = &self.neighbours[neighbour].settings;
+        let Some(entry) = view.jobs.get(&*candidate.id) else {
+            return false;
+        };
+        let number = next_number(&entry.record);
+        let known = ids::sent_id(&candidate.id, number).is_some();
+        let tasks = u64::from(candidate.spec.tasks);
+        known
+            && !self.writes.concerns(&candidate.id)
+            && number <= settings.max_moves
+            && lent.unaccepted < MAX_UNACCEPTED
+            && lent.jobs < settings.max_jobs
+            && lent.tasks + tasks <= settings.max_tasks
+            && suits(&candidate.spec, settings)
+            && is_worth_moving(candidate, settings)
+            && deadline_is_ahead(candidate, now)
+    }
+
+    /// What a neighbour has, offers under way included.
+    fn lent_to(&self, name: &str, view: &View) -> Lent {
+        let mut lent = Lent::default();
+        for (job, _) in self
+            .tracked
+            .iter()
+            .filter(|(_, tracked)| tracked.cell == name)
+        {
+            let record = view.jobs.get(job).map(|entry| &entry.record);
+            let Some(spec) = record.and_then(|record| record.spec.as_ref()) else {
+                continue;
+            };
+            let accepted = open_delegation(view, job)
+                .is_some_and(|(_, delegation)| delegation.state != DelegationState::Offered);
+            lent.add(spec, accepted);
+        }
+        lent
+    }
+
+    /// Begins to write that a job goes to a neighbour; false if something of it is placed.
+    fn offer(
+        &mut self,
+        neighbour: usize,
+        candidate: &LendingCandidate,
+        access: &mut LendingAccess<'_>,
+        announcements: &[(String, u64)],
+    ) -> bool {
+        let job = &*candidate.id;
+        let Some(entry) = access.view.jobs.get(job) else {
+            return false;
+        };
+        let Some(revision) = access.leader.reserve_for_lending(job) else {
+            return false;
+        };
+        let name = self.neighbours[neighbour].name.clone();
+        let number = next_number(&entry.record);
+        let delegation = Delegation {
+            cell: name.clone(),
+            number,
+            state: DelegationState::Offered,
+            cancel_requested: false,
+        };
+        let mut tracked = Tracked::of(&delegation);
+        tracked.known.submissions.offered_here = true;
+        self.tracked.insert(job.to_owned(), tracked);
+        let record = JobRecord {
+            delegation: Some(delegation),
+            ..entry.record.clone()
+        };
+        let mut when = vec![(TERM_KEY.to_owned(), access.leader.term_rev())];
+        when.extend_from_slice(announcements);
+        self.writes
+            .begin(job, Transition::Offer, record, revision, when);
+        let sent_id = ids::sent_id(job, number).unwrap_or_default();
+        self.notify(Notice::Offered {
+            job: job.to_owned(),
+            neighbour: name,
+            sent_id,
+        });
+        true
+    }
+
+    /// Asks neighbours whether they take guests, where something would be lent.
+    pub(super) fn ask_up(&mut self, now: Micros) -> Vec<CellEffect> {
+        let mut effects = Vec::new();
+        for neighbour in 0..self.neighbours.len() {
+            let link = &mut self.neighbours[neighbour].link;
+            if !link.asks_up(now) {
+                continue;
+            }
+            if let Some(address) = link.take_call(now) {
+                link.asked_up(now);
+                effects.push(self.send(neighbour, address, None, LinkRequest::Up));
+            }
+        }
+        effects
+    }
+
+    /// Fetches jobs back of which nothing runs, where home has had room for them for long enough.
+    pub(super) fn plan_returns(&mut self, access: &mut LendingAccess<'_>, now: Micros) {
+        let jobs: Vec<String> = self.tracked.keys().cloned().collect();
+        for job in jobs {
+            let wanted = self.is_wanted_back(&job, access, now);
+            let Some(tracked) = self.tracked.get_mut(&job) else {
+                continue;
+            };
+            if !wanted || std::mem::replace(&mut tracked.known.wanted_back, true) {
+                continue;
+            }
+            tracked.known.ask_at = now;
+            if let Some((_, delegation)) = open_delegation(access.view, &job) {
+                let neighbour = delegation.cell.clone();
+                self.notify(Notice::Recalled { job, neighbour });
+            }
+        }
+    }
+
+    fn is_wanted_back(&mut self, job: &str, access: &mut LendingAccess<'_>, now: Micros) -> bool {
+        let Some((_, delegation)) = open_delegation(access.view, job) else {
+            return false;
+        };
+        let Some(neighbour) = self.neighbour(&delegation.cell) else {
+            return false;
+        };
+        // A controller that does not know delegations may lead next, and would place what it finds.
+        if access.announcements.is_none() {
+            return true;
+        }
+        let recall_after = self.neighbours[neighbour].settings.recall_after();
+        let Some(tracked) = self.tracked.get_mut(job) else {
+            return false;
+        };
+        let idle = delegation.state == DelegationState::Accepted
+            && tracked.known.status == Some(HostStatus::Pending);
+        if !idle || !access.leader.could_begin_here(job, now) {
+            tracked.room_since = None;
+            return false;
+        }
+        let since = *tracked.room_since.get_or_insert(now);
+        now.since(since) >= recall_after
+    }
+}
+
+/// The number of the job's next delegation.
+fn next_number(record: &JobRecord) -> u32 {
+    let last = record.delegation.as_ref().map_or(0, |last| last.number);
+    last.saturating_add(1)
+}
+
+/// Whether the neighbour has what the job is bound to.
+fn suits(spec: &Arc<JobSpec>, settings: &LendSettings) -> bool {
+    let has = |name: &String| settings.machine_types.contains(name);
+    let types = spec.types.as_ref();
+    spec.zone.is_none() && types.is_none_or(|types| types.iter().any(has))
+}
+
+/// Whether the job runs for long enough, and for longer than its image takes to fetch.
+fn is_worth_moving(candidate: &LendingCandidate, settings: &LendSettings) -> bool {
+    let run = candidate.spec.estimate;
+    run >= settings.min_run() && run >= candidate.fetch
+}
+
+/// Whether the job's deadline is not over.
+fn deadline_is_ahead(candidate: &LendingCandidate, now: Micros) -> bool {
+    let deadline = candidate.spec.deadline;
+    deadline.is_none_or(|deadline| now < candidate.submitted.plus(deadline))
+}
--- /dev/null
+++ b/crates/saltpitch-cells/src/home/step.rs
@@ -0,0 +1,192 @@
+//! What is done next about one delegation: a function of its record and of what this leadership knows.
+
+use std::fmt;
+
+use saltpitch_core::records::{Delegation, DelegationState};
+use saltpitch_core::Micros;
+
+use crate::link::HostStatus;
+
+/// A change of a delegation's record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Transition {
+    /// The job goes to the neighbour.
+    Offer,
+    /// The host has accepted it.
+    Accept,
+    /// Tasks of it run there.
+    Run,
+    /// The host is done with it, and so is the job.
+    Complete,
+    /// The job is this cell's own again.
+    Return,
+    /// The job is cancelled, as its user asked.
+    Cancel,
+}
+
+impl fmt::Display for Transition {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Transition::Offer => "offered",
+            Transition::Accept => "accepted",
+            Transition::Run => "runs",
+            Transition::Complete => "done",
+            Transition::Return => "back at home",
+            Transition::Cancel => "cancelled",
+        })
+    }
+}
+
+/// A request about one delegation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Request {
+    /// Submit it.
+    Submit,
+    /// Submit it so that it never starts, unless it has.
+    Close,
+    /// Ask for its status.
+    Status,
+    /// Have it withdrawn.
+    Abort,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing before this time.
+    Wait(Micros),
+    /// Write this change.
+    Write(Transition),
+    /// Send this request.
+    Call(Request),
+    /// Nothing can be done: the record cannot be read.
+    Stuck,
+}
+
+/// The submissions of one delegation that this leadership has sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Submissions {
+    /// This leadership offered the job itself, so that there are no others than its own.
+    pub offered_here: bool,
+    /// One was sent and not answered: it may yet arrive.
+    pub unanswered: bool,
+}
+
+impl Submissions {
+    /// Whether no copy can arrive any more that was not answered.
+    pub(super) fn are_settled(self) -> bool {
+        self.offered_here && !self.unanswered
+    }
+}
+
+/// What this leadership knows of one delegation beyond its record.
+#[derive(Clone, Debug, Default)]
+pub struct Knowledge {
+    /// The submissions sent.
+    pub submissions: Submissions,
+    /// The host has accepted the job, or calls it so by a status.
+    pub accepted: bool,
+    /// The last submission had no effect.
+    pub refused: bool,
+    /// The host's newest status.
+    pub status: Option<HostStatus>,
+    /// When the host was first heard to have withdrawn it.
+    pub withdrawn_at: Option<Micros>,
+    /// Home wants it back.
+    pub wanted_back: bool,
+    /// Not before then is the host asked again.
+    pub ask_at: Micros,
+}
+
+/// The times within which cancelled tasks are gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CancelTimes {
+    /// At home.
+    pub home: Micros,
+    /// At the host.
+    pub host: Micros,
+}
+
+impl CancelTimes {
+    /// From hearing that the host has withdrawn a job until all of its tasks must be gone.
+    pub fn until_gone(self) -> Micros {
+        self.host.with_drift()
+    }
+
+    /// From hearing that until its user may be told: the tasks must be gone within home's time from then.
+    pub fn until_told(self) -> Micros {
+        self.until_gone().since(self.home)
+    }
+}
+
+/// What to do next about a delegation.
+pub fn next_step(
+    delegation: &Delegation,
+    known: &Knowledge,
+    times: CancelTimes,
+    now: Micros,
+) -> Step {
+    if delegation.state == DelegationState::Damaged {
+        return Step::Stuck;
+    }
+    if known.status == Some(HostStatus::Done) {
+        return Step::Write(Transition::Complete);
+    }
+    if let Some(at) = known.withdrawn_at {
+        return after_withdrawal(delegation, at, times, now);
+    }
+    if delegation.state == DelegationState::Offered {
+        return while_offered(delegation, known, now);
+    }
+    while_accepted(delegation, known, now)
+}
+
+/// The host has withdrawn the job: it is free once its tasks must be gone.
+fn after_withdrawal(delegation: &Delegation, at: Micros, times: CancelTimes, now: Micros) -> Step {
+    let (wait, transition) = match delegation.cancel_requested {
+        true => (times.until_told(), Transition::Cancel),
+        false => (times.until_gone(), Transition::Return),
+    };
+    let free_at = at.plus(wait);
+    if now < free_at {
+        return Step::Wait(free_at);
+    }
+    Step::Write(transition)
+}
+
+/// The host may not have heard of the job yet.
+fn while_offered(delegation: &Delegation, known: &Knowledge, now: Micros) -> Step {
+    if known.accepted {
+        return Step::Write(Transition::Accept);
+    }
+    if known.refused && known.submissions.are_settled() {
+        return Step::Write(match delegation.cancel_requested {
+            true => Transition::Cancel,
+            false => Transition::Return,
+        });
+    }
+    if now < known.ask_at {
+        return Step::Wait(known.ask_at);
+    }
+    let ends = known.refused || known.wanted_back || delegation.cancel_requested;
+    Step::Call(match ends {
+        true => Request::Close,
+        false => Request::Submit,
+    })
+}
+
+/// The host has the job.
+fn while_accepted(delegation: &Delegation, known: &Knowledge, now: Micros) -> Step {
+    let runs = known.status == Some(HostStatus::Running);
+    if runs && delegation.state == DelegationState::Accepted {
+        return Step::Write(Transition::Run);
+    }
+    if now < known.ask_at {
+        return Step::Wait(known.ask_at);
+    }
+    let ends = known.wanted_back || delegation.cancel_requested;
+    Step::Call(match ends {
+        true => Request::Abort,
+        false => Request::Status,
+    })
+}
--- /dev/null
+++ b/crates/saltpitch-cells/src/settings.rs
@@ -0,0 +1,336 @@
+//! The operators' file on cells: read once at start, checked field by field.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use garde::Validate;
+use saltpitch_core::quota::TeamLimits;
+use saltpitch_core::Micros;
+use serde::Deserialize;
+
+/// Why the file cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SettingsError {
+    /// It is not TOML, or a field is missing, unknown or of the wrong type.
+    #[error("cells: {0}")]
+    Unreadable(String),
+    /// A field has a value that it may not have.
+    #[error("cells: field `{field}` {reason}")]
+    Field {
+        /// The field, with the place in its list.
+        field: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+impl SettingsError {
+    fn field(field: impl Into<String>, reason: impl Into<String>) -> SettingsError {
+        SettingsError::Field {
+            field: field.into(),
+            reason: reason.into(),
+        }
+    }
+}
+
+/// What a controller's own settings say that the file has to agree with.
+#[derive(Clone, Debug)]
+pub struct Site<'a> {
+    /// This controller's name.
+    pub node: &'a str,
+    /// The addresses that it listens on already, with the names of their fields.
+    pub listens: &'a [(&'a str, SocketAddr)],
+    /// The teams.
+    pub teams: &'a [TeamLimits],
+    /// How many controllers there are.
+    pub controllers: usize,
+    /// The most changes in one transaction of the state service.
+    pub txn_ops: usize,
+}
+
+/// The file.
+#[derive(Clone, Debug, PartialEq, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct CellsSettings {
+    /// This cell's name.
+    #[garde(custom(cell_name))]
+    pub cell: String,
+    /// The cells that work is lent to or taken from.
+    #[garde(length(min = 1, max = 16), dive)]
+    pub neighbour: Vec<NeighbourSettings>,
+}
+
+/// One other cell.
+#[derive(Clone, Debug, PartialEq, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct NeighbourSettings {
+    /// Its name.
+    #[garde(custom(cell_name))]
+    pub name: String,
+    /// Whether and how work is lent to it.
+    #[serde(default)]
+    #[garde(dive)]
+    pub lend: Option<LendSettings>,
+    /// Whether and how work is taken from it.
+    #[serde(default)]
+    #[garde(dive)]
+    pub guests: Option<GuestSettings>,
+}
+
+/// How work is lent to a neighbour.
+#[derive(Clone, Debug, PartialEq, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct LendSettings {
+    /// The listeners that the neighbour's controllers have opened for this cell.
+    #[garde(length(min = 1, max = 32))]
+    pub addresses: Vec<SocketAddr>,
+    /// The time within which the neighbour removes the tasks of a cancelled job.
+    #[garde(range(min = 0.1, max = 86_400.0))]
+    pub cancel_s: f64,
+    /// The machine types that the neighbour has.
+    #[garde(length(min = 1, max = 100))]
+    pub machine_types: Vec<String>,
+    /// How long a job waits at home before it is lent.
+    #[serde(default = "default_after_s")]
+    #[garde(range(min = 1.0, max = 86_400.0))]
+    pub after_s: f64,
+    /// Jobs whose tasks run for less than this stay.
+    #[serde(default = "default_min_run_s")]
+    #[garde(range(min = 0.0, max = 86_400.0))]
+    pub min_run_s: f64,
+    /// How long home must have had room for a lent job that does not run before it is fetched back.
+    #[serde(default = "default_recall_after_s")]
+    #[garde(range(min = 1.0, max = 86_400.0))]
+    pub recall_after_s: f64,
+    /// How often one job may be lent.
+    #[serde(default = "default_max_moves")]
+    #[garde(range(min = 1, max = 1_000))]
+    pub max_moves: u32,
+    /// The most jobs lent at a time.
+    #[garde(range(min = 1, max = 100_000))]
+    pub max_jobs: usize,
+    /// The most tasks lent at a time.
+    #[garde(range(min = 1, max = 10_000_000))]
+    pub max_tasks: u64,
+    /// Calls a second to the neighbour.
+    #[serde(default = "default_calls_per_s")]
+    #[garde(range(min = 0.1, max = 1_000.0))]
+    pub calls_per_s: f64,
+    /// Changes a second in this cell's state service that delegations to the neighbour may take.
+    #[serde(default = "default_changes_per_s")]
+    #[garde(range(min = 0.1, max = 1_000.0))]
+    pub changes_per_s: f64,
+}
+
+/// How work is taken from a neighbour.
+#[derive(Clone, Debug, PartialEq, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct GuestSettings {
+    /// Where each controller listens for the neighbour, by the controller's name.
+    #[garde(length(min = 1, max = 100))]
+    pub listen: BTreeMap<String, SocketAddr>,
+    /// The team that the neighbour's jobs belong to. It must have no guarantee.
+    #[garde(length(min = 1, max = 200))]
+    pub team: String,
+    /// Whether machines may be rented for them.
+    #[serde(default)]
+    #[garde(skip)]
+    pub may_rent: bool,
+    /// The most jobs at a time.
+    #[garde(range(min = 1, max = 100_000))]
+    pub max_jobs: usize,
+    /// The most tasks at a time.
+    #[garde(range(min = 1, max = 10_000_000))]
+    pub max_tasks: u64,
+    /// The most jobs of which nothing runs: beyond them there is no room to spare.
+    #[serde(default = "default_max_waiting")]
+    #[garde(range(min = 1, max = 100_000))]
+    pub max_waiting: usize,
+}
+
+fn default_after_s() -> f64 {
+    20.0
+}
+
+fn default_min_run_s() -> f64 {
+    10.0
+}
+
+fn default_recall_after_s() -> f64 {
+    30.0
+}
+
+fn default_max_moves() -> u32 {
+    3
+}
+
+fn default_calls_per_s() -> f64 {
+    5.0
+}
+
+fn default_changes_per_s() -> f64 {
+    2.0
+}
+
+fn default_max_waiting() -> usize {
+    2
+}
+
+/// Cells' names become part of ids and of keys in the state service.
+fn cell_name(name: &str, _: &()) -> garde::Result {
+    let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+    if (1..=40).contains(&name.len()) && name.bytes().all(allowed) {
+        return Ok(());
+    }
+    Err(garde::Error::new(
+        "must have 1 to 40 small letters, digits or hyphens",
+    ))
+}
+
+impl LendSettings {
+    /// See [`LendSettings::cancel_s`].
+    pub fn cancel(&self) -> Micros {
+        Micros::from_secs_f64(self.cancel_s)
+    }
+
+    /// See [`LendSettings::after_s`].
+    pub fn after(&self) -> Micros {
+        Micros::from_secs_f64(self.after_s)
+    }
+
+    /// See [`LendSettings::min_run_s`].
+    pub fn min_run(&self) -> Micros {
+        Micros::from_secs_f64(self.min_run_s)
+    }
+
+    /// See [`LendSettings::recall_after_s`].
+    pub fn recall_after(&self) -> Micros {
+        Micros::from_secs_f64(self.recall_after_s)
+    }
+}
+
+impl CellsSettings {
+    /// Reads and checks the file.
+    pub fn parse(text: &str, site: &Site<'_>) -> Result<CellsSettings, SettingsError> {
+        let settings: CellsSettings = toml::from_str(text)
+            .map_err(|error| SettingsError::Unreadable(error.to_string().trim().to_owned()))?;
+        settings.check_ranges()?;
+        settings.check_names()?;
+        settings.check_teams(site)?;
+        settings.check_addresses(site)?;
+        settings.check_transaction(site)?;
+        Ok(settings)
+    }
+
+    /// The neighbour of this name.
+    pub fn neighbour(&self, name: &str) -> Option<&NeighbourSettings> {
+        self.neighbour.iter().find(|other| other.name == name)
+    }
+
+    fn check_ranges(&self) -> Result<(), SettingsError> {
+        self.validate().map_err(|report| {
+            let first = report.iter().next();
+            let (path, reason) = first.map_or_else(
+                || (String::new(), "is invalid".to_owned()),
+                |(path, error)| (path.to_string(), error.to_string()),
+            );
+            SettingsError::field(path, reason)
+        })
+    }
+
+    fn check_names(&self) -> Result<(), SettingsError> {
+        let mut names = BTreeSet::new();
+        for (at, neighbour) in self.neighbour.iter().enumerate() {
+            let field = format!("neighbour[{at}].name");
+            if neighbour.name == self.cell {
+                return Err(SettingsError::field(field, "names this cell itself"));
+            }
+            if !names.insert(&neighbour.name) {
+                let reason = format!("names {} twice", neighbour.name);
+                return Err(SettingsError::field(field, reason));
+            }
+            if neighbour.lend.is_none() && neighbour.guests.is_none() {
+                let field = format!("neighbour[{at}]");
+                let reason = "has neither `lend` nor `guests`";
+                return Err(SettingsError::field(field, reason));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_teams(&self, site: &Site<'_>) -> Result<(), SettingsError> {
+        for (at, neighbour) in self.neighbour.iter().enumerate() {
+            let Some(guests) = &neighbour.guests else {
+                continue;
+            };
+            let field = format!("neighbour[{at}].guests.team");
+            let team = site.teams.iter().find(|team| team.name == guests.team);
+            let Some(team) = team else {
+                let reason = format!("names {}, which is no team of this cell", guests.team);
+                return Err(SettingsError::field(field, reason));
+            };
+            if team.cpu > 0 || team.gpu > 0 {
+                let reason = format!("names {}, which has a guarantee", guests.team);
+                return Err(SettingsError::field(field, reason));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_addresses(&self, site: &Site<'_>) -> Result<(), SettingsError> {
+        let mut taken: BTreeMap<SocketAddr, String> = BTreeMap::new();
+        for (field, address) in site.listens {
+            taken.insert(*address, (*field).to_owned());
+        }
+        for (at, neighbour) in self.neighbour.iter().enumerate() {
+            let Some(guests) = &neighbour.guests else {
+                continue;
+            };
+            for (node, address) in &guests.listen {
+                let field = format!("neighbour[{at}].guests.listen.{node}");
+                if let Some(other) = taken.insert(*address, field.clone()) {
+                    let reason = format!("is {address}, which `{other}` uses already");
+                    return Err(SettingsError::field(field, reason));
+                }
+            }
+            if !guests.listen.contains_key(site.node) {
+                let field = format!("neighbour[{at}].guests.listen");
+                let reason = format!("has no address for this controller, {}", site.node);
+                return Err(SettingsError::field(field, reason));
+            }
+        }
+        self.check_calls_elsewhere(&taken)
+    }
+
+    /// Nothing is lent to a listener of this cell's own.
+    fn check_calls_elsewhere(
+        &self,
+        own: &BTreeMap<SocketAddr, String>,
+    ) -> Result<(), SettingsError> {
+        for (at, neighbour) in self.neighbour.iter().enumerate() {
+            let addresses = neighbour.lend.iter().flat_map(|lend| &lend.addresses);
+            for address in addresses {
+                if let Some(other) = own.get(address) {
+                    let field = format!("neighbour[{at}].lend.addresses");
+                    let reason = format!("holds {address}, which `{other}` uses already");
+                    return Err(SettingsError::field(field, reason));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// A delegation is committed on condition of the term, the job and all announcements.
+    fn check_transaction(&self, site: &Site<'_>) -> Result<(), SettingsError> {
+        let lends = self.neighbour.iter().any(|other| other.lend.is_some());
+        let needed = site.controllers + 2;
+        let allowed = site.txn_ops.saturating_mul(4);
+        if lends && needed > allowed {
+            let reason = format!(
+                "needs transactions with {needed} conditions, and `cluster.state.txn_ops` allows {allowed}"
+            );
+            return Err(SettingsError::field("neighbour[].lend", reason));
+        }
+        Ok(())
+    }
+}
--- a/crates/saltpitch-core/src/controller/election.rs
+++ b/crates/saltpitch-core/src/controller/election.rs
@@ -210,12 +210,8 @@
         self.lose_leadership(LossReason::Unheard);
         self.deferring_until = now.plus(DEFERENCE);
         self.incarnation = wall.0.max(self.incarnation + 1);
-        let (when, writes) = resignation(
-            &self.view,
-            &self.config.name,
-            self.incarnation,
-            term_revision,
-        );
+        let record = self.node_record();
+        let (when, writes) = resignation(&self.view, &self.config.name, &record, term_revision);
         Some(Resignation {
             store_lease,
             when,
--- a/crates/saltpitch-core/src/controller/mod.rs
+++ b/crates/saltpitch-core/src/controller/mod.rs
@@ -54,6 +54,8 @@
     pub peers: Vec<PeerIdentity>,
     /// The scheduler's part of the settings.
     pub scheduler: Config,
+    /// Whether jobs may be delegated to other cells.
+    pub knows_delegations: bool,
 }
 
 /// How the state service has served this process lately, as its adapter saw it.
@@ -91,6 +93,16 @@
     unheard_since: Option<Micros>,
 }
 
+/// What the delegation of jobs to other cells works with, while this controller leads.
+pub struct LendingAccess<'a> {
+    /// The scheduler.
+    pub leader: &'a mut Leader,
+    /// The copy of the records.
+    pub view: &'a View,
+    /// The conditions that stand for all controllers knowing delegations; `None` while one does not.
+    pub announcements: Option<Vec<(String, u64)>>,
+}
+
 /// One controller. Every method takes the present time; nothing here reads a clock.
 pub struct Controller {
     config: ControllerConfig,
@@ -218,6 +230,21 @@
         leadership.leader.poll(now)
     }
 
+    /// Scheduler and records, while this controller may answer workers: only then is anything decided
+    /// about other cells.
+    pub fn lending_access(&mut self, now: Micros) -> Option<LendingAccess<'_>> {
+        if !self.may_answer(now) {
+            return None;
+        }
+        let announcements = self.delegations_known_by_all();
+        let leadership = self.leadership.as_mut()?;
+        Some(LendingAccess {
+            leader: &mut leadership.leader,
+            view: &self.view,
+            announcements,
+        })
+    }
+
     /// The records were read anew for the scheduler of this epoch, or could not be.
     pub fn refreshed(&mut self, epoch: u64, read: bool, now: Micros, wall: Micros) {
         if self.epoch != epoch {
--- a/crates/saltpitch-core/src/controller/records.rs
+++ b/crates/saltpitch-core/src/controller/records.rs
@@ -120,6 +120,29 @@
         Ok(())
     }
 
+    /// What this process says of itself on record.
+    pub(super) fn node_record(&self) -> NodeRecord {
+        NodeRecord {
+            incarnation: self.incarnation,
+            knows_delegations: self.config.knows_delegations,
+        }
+    }
+
+    /// The revisions of all controllers' announcements, if each of them knows delegations. A
+    /// delegation is committed on condition of them, so that no controller of an earlier version can
+    /// have started in between.
+    pub fn delegations_known_by_all(&self) -> Option<Vec<(String, u64)>> {
+        let peers = self.config.peers.iter().map(|peer| peer.name.as_str());
+        let names = peers.chain([self.config.name.as_str()]);
+        names
+            .map(|name| {
+                let (revision, record) = self.view.nodes.get(name)?;
+                let known = record.knows_delegations;
+                known.then(|| (node_key(name), *revision))
+            })
+            .collect()
+    }
+
     /// The write that puts this process's incarnation on record, if it is not there yet.
     pub fn announcement(&mut self) -> Option<Announcement> {
         if self.announced {
@@ -131,9 +154,7 @@
             None => (0, 0),
         };
         self.incarnation = self.incarnation.max(known + 1);
-        let record = NodeRecord {
-            incarnation: self.incarnation,
-        };
+        let record = self.node_record();
         Some(Announcement {
             incarnation: self.incarnation,
             expected_revision,
--- a/crates/saltpitch-core/src/leader/capacity.rs
+++ b/crates/saltpitch-core/src/leader/capacity.rs
@@ -211,6 +211,9 @@
             if matches!(job.gang, Gang::Committing | Gang::Allowed) {
                 continue;
             }
+            if job.guest.as_ref().is_some_and(|guest| !guest.may_rent) {
+                continue;
+            }
             let spec = job.spec.clone();
             let job_team = job.team;
             let (Some(team), Some(used)) = (self.quota.team(job_team), claimed.get(job_team))
--- a/crates/saltpitch-core/src/leader/commit.rs
+++ b/crates/saltpitch-core/src/leader/commit.rs
@@ -508,7 +508,7 @@
     }
 
     /// The final record is written: the job leaves memory, its chunks are deleted by and by.
-    fn finish_job(&mut self, no: JobNo, now: Micros) {
+    pub(super) fn finish_job(&mut self, no: JobNo, now: Micros) {
         self.close(no);
         let Some(job) = self.jobs.remove(&no) else {
             return;
--- a/crates/saltpitch-core/src/leader/jobs.rs
+++ b/crates/saltpitch-core/src/leader/jobs.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::failures::FailureHistory;
+use super::lending::Owner;
 use super::{Class, Job, Leader, Task, FADE};
 use crate::cluster::JobNo;
 use crate::gang::Gang;
@@ -99,6 +100,8 @@
                 job.state = JobState::Cancelled;
                 self.cancel(no, now);
             }
+            self.owner_changed(no, &entry.record, now);
+            self.completed_elsewhere(no, view, now);
             return;
         }
         let Some(spec) = entry.record.spec.clone() else {
@@ -127,6 +130,12 @@
             id: id.into(),
             rev: entry.rev,
             state,
+            owner: match entry.record.is_delegated() {
+                true => Owner::Elsewhere,
+                false => Owner::Here,
+            },
+            came_back_at: Micros::ZERO,
+            guest: entry.record.guest.clone(),
             submitted: now.since(wall.since(entry.record.submitted)),
             queued: now.since(wall.since(entry.record.submitted)),
             unmet: BTreeSet::new(),
--- /dev/null
+++ b/crates/saltpitch-core/src/leader/lending.rs
@@ -0,0 +1,226 @@
+//! Jobs that another cell may run for this one, and jobs that this cell runs for others.
+//!
+//! A delegated job is in no queue: nothing of it is rented for, placed or preempted for. It becomes so by its record
+//! alone, whoever wrote it; [`Leader::reserve_for_lending`] only keeps the job from being placed while
+//! that record is under way.
+
+use std::sync::Arc;
+
+use super::{Job, Leader};
+use crate::cluster::{JobNo, Machine};
+use crate::job::{JobSpec, JobState, Kind, Priority};
+use crate::records::{JobRecord, View};
+use crate::time::Micros;
+
+/// Waiting jobs that are looked at in one search for candidates, the oldest first.
+const LOOKS_FOR_CANDIDATES: usize = 1_000;
+/// Machines of one group that are looked at to see whether there is room for a job.
+const LOOKS_FOR_ROOM: usize = 64;
+/// Home counts as having room for what it lent only while nothing waits there for longer than this.
+const QUEUE_IS_SHORT: Micros = Micros::from_secs(5);
+
+/// Which cell a job is with, as far as this leader knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Owner {
+    /// This one.
+    #[default]
+    Here,
+    /// This one, until a record under way says otherwise.
+    Reserved,
+    /// Another one may own it.
+    Elsewhere,
+}
+
+/// A waiting job that could be delegated.
+#[derive(Clone, Debug)]
+pub struct LendingCandidate {
+    /// The job.
+    pub id: Arc<str>,
+    /// Its description.
+    pub spec: Arc<JobSpec>,
+    /// When it was submitted.
+    pub submitted: Micros,
+    /// The time that its image takes to fetch here.
+    pub fetch: Micros,
+}
+
+impl Job {
+    /// Nothing of it has been placed or done, so that it could go as a whole.
+    fn is_whole(&self) -> bool {
+        self.placed == 0 && self.done == 0 && self.deferred.is_empty()
+    }
+
+    fn may_be_lent(&self) -> bool {
+        let batch = self.spec.kind != Kind::Service && self.spec.priority < Priority::Production;
+        batch && self.active() && self.is_whole() && self.guest.is_none() && !self.at_fault()
+    }
+
+    /// Since when it has waited here.
+    fn waits_here_since(&self) -> Micros {
+        self.queued.max(self.came_back_at)
+    }
+}
+
+impl Leader {
+    /// Up to `limit` jobs that have waited here for at least `waited` and could be delegated, the oldest
+    /// first.
+    pub fn lending_candidates(
+        &self,
+        waited: Micros,
+        limit: usize,
+        now: Micros,
+    ) -> Vec<LendingCandidate> {
+        let oldest = self.by_age.iter().take(LOOKS_FOR_CANDIDATES);
+        let jobs = oldest.filter_map(|(_, no)| self.jobs.get(no));
+        let long_enough = |job: &&Job| now.since(job.waits_here_since()) >= waited;
+        jobs.filter(|job| job.may_be_lent())
+            .filter(long_enough)
+            .take(limit)
+            .map(|job| LendingCandidate {
+                id: job.id.clone(),
+                spec: job.spec.clone(),
+                submitted: job.submitted,
+                fetch: self.fetch_time(&job.spec),
+            })
+            .collect()
+    }
+
+    /// How long the job's image takes to fetch on the types that it may use.
+    fn fetch_time(&self, spec: &JobSpec) -> Micros {
+        let types = self.catalog.types.iter();
+        let suitable = types.filter(|kind| spec.need.fits(&kind.size));
+        let times = suitable.map(|kind| kind.fetch_time(spec.image_mb));
+        times.min().unwrap_or_default()
+    }
+
+    /// Takes a job out of the queue while its delegation is written. Returns the revision of its record;
+    /// `None` if something of it is placed, on record or on its way there.
+    pub fn reserve_for_lending(&mut self, id: &str) -> Option<u64> {
+        let no = *self.by_id.get(id)?;
+        let job = self.jobs.get(&no)?;
+        let written = |task: u32| self.dirty.contains(no, task) || self.in_flight(no, task);
+        if !job.may_be_lent() || (0..job.spec.tasks).any(written) {
+            return None;
+        }
+        self.close(no);
+        let job = self.jobs.get_mut(&no)?;
+        job.owner = Owner::Reserved;
+        Some(job.rev)
+    }
+
+    /// The delegation was not written: the job goes back to the queue.
+    pub fn release_reservation(&mut self, id: &str, now: Micros) {
+        let Some(&no) = self.by_id.get(id) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&no) else {
+            return;
+        };
+        if job.owner == Owner::Reserved {
+            job.owner = Owner::Here;
+            job.came_back_at = now;
+            self.enqueue(no, now);
+        }
+    }
+
+    /// Whether a job that is with another cell could begin here now: nothing else waits, its team's limit
+    /// has room, and there are machines for all of it or the cloud is not known to refuse them.
+    pub fn could_begin_here(&mut self, id: &str, now: Micros) -> bool {
+        let job = self.by_id.get(id).and_then(|no| self.jobs.get(no));
+        let Some((spec, team)) = job.map(|job| (job.spec.clone(), job.team)) else {
+            return false;
+        };
+        let at_a_time = match spec.kind {
+            Kind::Array => 1,
+            Kind::Gang | Kind::Service => u64::from(spec.tasks),
+        };
+        if self.queue_is_long(now) || self.quota.more(team, &spec.need) < at_a_time {
+            return false;
+        }
+        self.has_free_room(&spec) || self.cloud_may_have_room(&spec, now)
+    }
+
+    /// Whether a job of this cell's own waits for longer than a moment.
+    fn queue_is_long(&self, now: Micros) -> bool {
+        let open = self.open.iter().take(LOOKS_FOR_CANDIDATES);
+        let mut jobs = open.filter_map(|no| self.jobs.get(no));
+        let waits = |job: &Job| now.since(job.waits_here_since()) > QUEUE_IS_SHORT;
+        jobs.any(|job| job.active() && job.guest.is_none() && !job.at_fault() && waits(job))
+    }
+
+    fn has_free_room(&mut self, spec: &JobSpec) -> bool {
+        let mut room = 0;
+        for group in &mut self.fleet.groups {
+            if !spec.allows(&group.kind.name, &group.zone, group.spot) {
+                continue;
+            }
+            let search = group.search(&spec.need, LOOKS_FOR_ROOM);
+            self.steps += search.steps;
+            let machines = search
+                .fits
+                .iter()
+                .filter_map(|name| self.machines.get(name));
+            let tasks = machines.map(|machine| spec.need.count_in(&machine.free()));
+            room += tasks.sum::<u64>();
+        }
+        room >= u64::from(spec.tasks)
+    }
+
+    fn cloud_may_have_room(&self, spec: &JobSpec, now: Micros) -> bool {
+        let refused = |name: &str, zone: &str, spot: bool| {
+            let key = (name.to_owned(), zone.to_owned(), spot);
+            let refusal = self.refusals.get(&key);
+            refusal.is_some_and(|refusal| refusal.until > now)
+        };
+        let mut types = self.catalog.types.iter();
+        types.any(|kind| {
+            spec.need.fits(&kind.size)
+                && kind.zones.iter().any(|zone| {
+                    [true, false].into_iter().any(|spot| {
+                        spec.allows(&kind.name, zone, spot) && !refused(&kind.name, zone, spot)
+                    })
+                })
+        })
+    }
+
+    /// A job's record changed: it may have gone to another cell, or come back.
+    pub(super) fn owner_changed(&mut self, no: JobNo, record: &JobRecord, now: Micros) {
+        let Some(job) = self.jobs.get_mut(&no) else {
+            return;
+        };
+        if record.state != JobState::Active {
+            return;
+        }
+        let before = job.owner;
+        if record.is_delegated() {
+            job.owner = Owner::Elsewhere;
+            self.close(no);
+        } else if before == Owner::Elsewhere {
+            job.owner = Owner::Here;
+            job.came_back_at = now;
+            self.enqueue(no, now);
+        }
+    }
+
+    /// The host cell completed the job and its final record is written: it leaves memory.
+    pub(super) fn completed_elsewhere(&mut self, no: JobNo, view: &View, now: Micros) {
+        let elsewhere = |job: &&Job| job.owner == Owner::Elsewhere;
+        let Some(job) = self.jobs.get(&no).filter(elsewhere) else {
+            return;
+        };
+        let record = view.jobs.get(&*job.id).map(|entry| &entry.record);
+        if record.is_some_and(|record| record.state == JobState::Done && record.spec.is_none()) {
+            self.finish_job(no, now);
+        }
+    }
+
+    /// Whether a job may use this machine as far as guests go. A guest for which nothing may be rented
+    /// keeps no machine either: it goes only where work of this cell's own is.
+    pub(super) fn welcomes(&self, job: &Job, machine: &Machine) -> bool {
+        let Some(guest) = &job.guest else {
+            return true;
+        };
+        let own = |no: &JobNo| self.jobs.get(no).is_some_and(|job| job.guest.is_none());
+        guest.may_rent || machine.holds.iter().any(|(no, _)| own(no))
+    }
+}
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -15,6 +15,7 @@
 mod gangs;
 mod interface;
 mod jobs;
+mod lending;
 mod log;
 mod machine_list;
 mod orders;
@@ -38,7 +39,7 @@
 use crate::gang::Gang;
 use crate::job::{JobSpec, JobState, Kind, Priority};
 use crate::quota::Quota;
-use crate::records::ReturnedMachines;
+use crate::records::{Guest, ReturnedMachines};
 use crate::time::Micros;
 
 pub use capacity::{Refusal, Rented};
@@ -47,6 +48,7 @@
 pub use faults::Fault;
 pub use interface::{Aim, Config, Effect, Objective, Write};
 pub use jobs::JobTimeline;
+pub use lending::LendingCandidate;
 pub use machine_list::ListedMachine;
 pub use orders::Ordered;
 
@@ -108,6 +110,12 @@
     pub team: usize,
     pub rev: u64,
     pub state: JobState,
+    /// Which cell it is with.
+    pub owner: lending::Owner,
+    /// When it last came back from another cell.
+    pub came_back_at: Micros,
+    /// The cell that it is run for, if that is another one.
+    pub guest: Option<Guest>,
     /// On this node's steady clock.
     pub submitted: Micros,
     /// When its waits began: submitted, or released by the last job that it needs.
@@ -155,7 +163,8 @@
     }
 
     fn active(&self) -> bool {
-        self.state == JobState::Active && !self.complete() && self.unmet.is_empty()
+        let here = self.owner == lending::Owner::Here;
+        here && self.state == JobState::Active && !self.complete() && self.unmet.is_empty()
     }
 
     /// Started work, or work to come, per task.
--- a/crates/saltpitch-core/src/leader/schedule.rs
+++ b/crates/saltpitch-core/src/leader/schedule.rs
@@ -92,7 +92,7 @@
                         return None;
                     }
                 }
-                let avoided = job.failures.avoids(&name, now);
+                let avoided = job.failures.avoids(&name, now) || !self.welcomes(job, m);
                 (!avoided && (stuck || self.may_borrow(&spec, m, now)))
                     .then(|| (placement::score(&spec, m), name))
             })
--- a/crates/saltpitch-core/src/leader/service_order.rs
+++ b/crates/saltpitch-core/src/leader/service_order.rs
@@ -21,6 +21,9 @@
 /// The rank of what nothing is said of, and of jobs at fault.
 const LAST_RANK: u8 = 5;
 
+/// The rank of work that is run for another cell: after all of this cell's own.
+const GUEST_RANK: u8 = LAST_RANK + 1;
+
 /// A job waiting for room, in the order in which jobs are served.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiting {
@@ -55,10 +58,11 @@
             let whole = claimed[j.team].plus(&j.spec.need.times(left));
             let guaranteed = team.guarantees(&whole);
             claimed[j.team] = whole;
-            let due = self.start_by(j, now);
+            let due = self.start_by(j, now).filter(|_| j.guest.is_none());
             let young = now.since(j.queued) < self.cfg.guarantee_within;
-            let starved = self.starved(j, now);
+            let starved = j.guest.is_none() && self.starved(j, now);
             let rank = match (j.priority, guaranteed) {
+                _ if j.guest.is_some() => GUEST_RANK,
                 _ if at_fault => LAST_RANK,
                 (Priority::Production, _) => 0u8,
                 (_, true) if due.is_some() || young => 1,
--- a/crates/saltpitch-core/src/leadership.rs
+++ b/crates/saltpitch-core/src/leadership.rs
@@ -142,7 +142,7 @@
 pub fn resignation(
     view: &View,
     me: &str,
-    incarnation: u64,
+    record: &NodeRecord,
     term_rev: u64,
 ) -> (Vec<(String, u64)>, Vec<Write>) {
     let key = node_key(me);
@@ -154,7 +154,7 @@
         },
         Write {
             key: key.clone(),
-            value: serde_json::to_string(&NodeRecord { incarnation }).ok(),
+            value: serde_json::to_string(record).ok(),
         },
     ];
     (
--- a/crates/saltpitch-core/src/records/mod.rs
+++ b/crates/saltpitch-core/src/records/mod.rs
@@ -4,6 +4,7 @@
 //! job has also seen each earlier change of term.
 
 mod cancellations;
+mod delegation;
 mod keys;
 mod returned;
 mod stored;
@@ -13,6 +14,7 @@
 use serde_json::value::RawValue;
 
 pub use cancellations::{AckCursor, CancellationAck, Cancellations};
+pub use delegation::{CancelStep, Delegation, DelegationState, Guest};
 pub use keys::{
     block_key, chunk_key, job_id, job_key, log_key, node_key, BLOCK, CATALOG_KEY, CHUNK,
     LEADER_KEY, PREFIX, TERM_KEY,
--- a/crates/saltpitch-core/src/records/stored.rs
+++ b/crates/saltpitch-core/src/records/stored.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::delegation::{read_delegation, Delegation, Guest};
 use super::CHUNK;
 use crate::job::{JobSpec, JobState};
 use crate::time::Micros;
@@ -41,11 +42,14 @@
 
 /// Written by each process when it starts, and by a leader that resigns: a newer life proves that
 /// the older one answers nobody.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct NodeRecord {
     /// The newest incarnation of the controller's process.
     #[serde(rename = "life")]
     pub incarnation: u64,
+    /// Whether this process knows delegations to other cells. Left out where it does not.
+    #[serde(rename = "cells", default, skip_serializing_if = "std::ops::Not::not")]
+    pub knows_delegations: bool,
 }
 
 /// A job.
@@ -64,6 +68,17 @@
     /// Left out otherwise; earlier versions don't know the field.
     #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
     pub finished: Option<Micros>,
+    /// The job's hand-over to another cell, the last one if there were several.
+    #[serde(
+        rename = "x",
+        default,
+        skip_serializing_if = "Option::is_none",
+        deserialize_with = "read_delegation"
+    )]
+    pub delegation: Option<Delegation>,
+    /// Says for which cell the job is run; `None` for this cell's own jobs.
+    #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
+    pub guest: Option<Guest>,
 }
 
 impl JobRecord {
@@ -74,6 +89,8 @@
             submitted,
             spec: Some(spec),
             finished: None,
+            delegation: None,
+            guest: None,
         }
     }
 
@@ -94,6 +111,8 @@
             submitted: Micros::ZERO,
             spec: None,
             finished,
+            delegation: None,
+            guest: None,
         }
     }
 }
--- a/crates/saltpitch-core/src/records/view.rs
+++ b/crates/saltpitch-core/src/records/view.rs
@@ -1,6 +1,6 @@
 //! A controller's copy of the records.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -81,6 +81,10 @@
     /// Jobs not yet cancelled on record that need a cancelled one, directly or through others. None of
     /// them has ever started a task, since what it needs was never done; none of them ever will.
     withdrawn: HashSet<String>,
+    /// Active jobs that another cell may own.
+    delegated: BTreeSet<String>,
+    /// Active jobs that are run for another cell.
+    guests: BTreeSet<String>,
     /// Cancellations as this copy learnt of them.
     pub cancellations: Cancellations,
     /// A record of an earlier version's layout was seen: this one must not lead on half the truth.
@@ -170,11 +174,37 @@
         }
         let dependencies = record.spec.clone().filter(|s| !s.needs.is_empty());
         let state = record.state;
+        self.index_cells(id, &record);
         self.jobs.insert(id.to_owned(), JobEntry { rev, record });
         self.take_needs(id, state, dependencies);
         Ok(Change::Job(id.to_owned()))
     }
 
+    /// Keeps up which jobs concern other cells.
+    fn index_cells(&mut self, id: &str, record: &JobRecord) {
+        let active = record.state == JobState::Active;
+        if active && record.is_delegated() {
+            self.delegated.insert(id.to_owned());
+        } else {
+            self.delegated.remove(id);
+        }
+        if active && record.guest.is_some() {
+            self.guests.insert(id.to_owned());
+        } else {
+            self.guests.remove(id);
+        }
+    }
+
+    /// The active jobs that another cell may own.
+    pub fn delegated(&self) -> impl Iterator<Item = &str> {
+        self.delegated.iter().map(String::as_str)
+    }
+
+    /// The active jobs that are run for another cell.
+    pub fn guests(&self) -> impl Iterator<Item = &str> {
+        self.guests.iter().map(String::as_str)
+    }
+
     fn put_checkpoint(
         &mut self,
         id: &str,
--- a/crates/saltpitch-core/tests/controller.rs
+++ b/crates/saltpitch-core/tests/controller.rs
@@ -34,6 +34,7 @@
 /// A controller "n0" in the east with one peer "n1" in the west, and the revision of its records.
 fn controller(records: &[(&str, &str)]) -> Controller {
     let config = ControllerConfig {
+        knows_delegations: false,
         name: "n0".to_owned(),
         zone: "east".to_owned(),
         peers: vec![PeerIdentity {
--- a/crates/saltpitch-core/tests/record_samples.rs
+++ b/crates/saltpitch-core/tests/record_samples.rs
@@ -184,7 +184,13 @@
     vec![
         row(TERM_KEY, &term),
         row(LEADER_KEY, &leader),
-        row(node_key("n1"), &NodeRecord { incarnation: 9 }),
+        row(
+            node_key("n1"),
+            &NodeRecord {
+                incarnation: 9,
+                ..NodeRecord::default()
+            },
+        ),
         row(CATALOG_KEY, &catalog),
         row(job_key("job-000001"), &accepted(gang_spec())),
         row(job_key("job-000004"), &accepted(waiting_array_spec())),
--- a/crates/saltpitch-testkit/src/nodes.rs
+++ b/crates/saltpitch-testkit/src/nodes.rs
@@ -63,6 +63,7 @@
         zone: zone.to_owned(),
         peers: others.map(identity).collect(),
         scheduler,
+        knows_delegations: false,
     }
 }
 
--- a/crates/saltpitch/src/settings.rs
+++ b/crates/saltpitch/src/settings.rs
@@ -199,6 +199,7 @@
             zone: self.zone.clone(),
             peers: self.peers.iter().map(identity).collect(),
             scheduler: self.scheduler(),
+            knows_delegations: false,
         }
     }
 
