Two cells of real controllers on loopback: the link is cut and restored under load

Need: the program itself shown to lend, to lose the link and its leader, and to complete each job once.

--- /dev/null
+++ b/crates/saltpitch/tests/end_to_end/main.rs
@@ -0,0 +1,6 @@
+//! The real program on loopback, against stand-ins for the store, the cloud and the workers, met by
+//! their published protocol. Waits are bounds against hanging, not assertions.
+
+mod one_cell;
+mod site;
+mod two_cells;
--- /dev/null
+++ b/crates/saltpitch/tests/end_to_end/site/workers.rs
@@ -0,0 +1,183 @@
+//! Machines: reports, orders and running tasks.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use poem::http::Method;
+use saltpitch_core::cluster::{Cause, Order, TaskState};
+use saltpitch_core::job::Kind;
+use saltpitch_core::Micros;
+use serde_json::{json, Value};
+
+use super::http::call;
+use super::{Reply, Shared, Site};
+
+fn report_body(s: &mut Site, name: &str) -> Value {
+    let addr = s.addrs[name].to_string();
+    let r = s.workers.get_mut(name).expect("worker").report();
+    let legs: Vec<Value> = r
+        .tasks
+        .iter()
+        .map(|t| {
+            let (status, cause) = match t.state {
+                TaskState::Fetching => ("fetching", None),
+                TaskState::Waiting => ("waiting", None),
+                TaskState::Running => ("running", None),
+                TaskState::Saving => ("saving", None),
+                TaskState::Exited { cause, .. } => (
+                    "exited",
+                    Some(match cause {
+                        Cause::Done => "done",
+                        Cause::Stopped => "halted",
+                        Cause::Peers => "peers",
+                        Cause::Incomplete => "incomplete",
+                        Cause::Error => "error",
+                        Cause::NoRoom => "no_room",
+                        Cause::Busy => "busy",
+                        Cause::Unknown => "no_such",
+                    }),
+                ),
+            };
+            json!({"leg": format!("{}/{}", t.job, t.task), "launch_no": t.attempt,
+                "status": status, "cause": cause})
+        })
+        .collect();
+    json!({"bollard": r.machine, "endpoint": addr, "hull_type": r.type_name, "basin": r.zone,
+        "lay_by": r.spot, "watch": r.session, "log_no": r.seq, "helm_mark": r.token,
+        "warning_s": null, "legs": legs})
+}
+
+fn execute(s: &mut Site, name: &str, token: u64, orders: &Value) -> bool {
+    let now = s.now();
+    let orders: Vec<Order> = orders
+        .as_array()
+        .into_iter()
+        .flatten()
+        .map(|o| {
+            let (job, task) = o["leg"]
+                .as_str()
+                .and_then(|l| l.rsplit_once('/'))
+                .expect("leg");
+            let (job, task) = (job.into(), task.parse().expect("task"));
+            let attempt = o["launch_no"].as_u64().expect("launch_no") as u32;
+            match o["order_kind"].as_str().expect("order_kind") {
+                "launch" => Order::Start { job, task, attempt },
+                "reap" => Order::Forget { job, task, attempt },
+                "kill" => Order::Stop {
+                    job,
+                    task,
+                    attempt,
+                    grace: Micros::from_secs_f64(o["slack_s"].as_f64().expect("slack_s")),
+                },
+                other => panic!("no such order: {other}"),
+            }
+        })
+        .collect();
+    let specs = s.specs_of(orders.iter().map(|order| match order {
+        Order::Start { job, .. } | Order::Stop { job, .. } | Order::Forget { job, .. } => &**job,
+    }));
+    let w = s.workers.get_mut(name).expect("worker");
+    if !w.take_token(token) {
+        return false;
+    }
+    w.execute(&orders, &|id| specs.get(id).cloned(), &mut |_| 0, now);
+    true
+}
+
+pub fn worker_call(site: &Shared, name: &str, uri: &str, body: &Value) -> Reply {
+    let mut s = site.lock().expect("lock");
+    if s.workers[name].gone {
+        return (500, json!({}));
+    }
+    if uri == "/show" {
+        return (200, report_body(&mut s, name));
+    }
+    let same = body["watch"].as_u64() == Some(s.workers[name].session);
+    let token = body["helm_mark"].as_u64().unwrap_or(0);
+    let done = same && execute(&mut s, name, token, &body["orders"]);
+    let report = report_body(&mut s, name);
+    (if done { 200 } else { 409 }, report)
+}
+
+/// One worker: reports, follows redirects, runs its tasks.
+pub async fn work(site: Shared, name: String) {
+    let mut target = 0;
+    loop {
+        let (node, body) = {
+            let mut s = site.lock().expect("lock");
+            if s.workers[&name].gone {
+                return;
+            }
+            run_tasks(&mut s, &name);
+            (s.nodes[target], report_body(&mut s, &name))
+        };
+        match call(node, Method::POST, "/v1/report", Some(body)).await {
+            Some((200, answer)) => {
+                let token = answer["helm_mark"].as_u64().unwrap_or(0);
+                let mut s = site.lock().expect("lock");
+                execute(&mut s, &name, token, &answer["orders"]);
+                let now = s.now();
+                s.workers.get_mut(&name).expect("worker").lease_from = now;
+            }
+            Some((421, answer)) => {
+                let s = site.lock().expect("lock");
+                let named = answer["harbour_master"].as_str().unwrap_or_default();
+                target = s
+                    .names
+                    .iter()
+                    .position(|n| n == named)
+                    .unwrap_or((target + 1) % s.names.len());
+            }
+            _ => target = (target + 1) % site.lock().expect("lock").names.len(),
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
+fn run_tasks(s: &mut Site, name: &str) {
+    let now = s.now();
+    let held = s.workers[name].tasks.keys();
+    let specs = s.specs_of(held.map(|((job, _), _)| job.as_str()));
+    let mut waiting: HashMap<String, u32> = HashMap::new();
+    for w in s.workers.values().filter(|w| !w.gone) {
+        for ((id, _), h) in &w.tasks {
+            if matches!(h.state, TaskState::Waiting | TaskState::Running) {
+                *waiting.entry(id.0.clone()).or_default() += 1;
+            }
+        }
+    }
+    let Site {
+        workers,
+        completions,
+        ..
+    } = s;
+    let w = workers.get_mut(name).expect("worker");
+    for ((id, _), h) in w.tasks.iter_mut() {
+        let Some(spec) = specs.get(&id.0) else {
+            continue;
+        };
+        let gang = spec.kind == Kind::Gang;
+        match h.state {
+            TaskState::Fetching if now >= h.until => {
+                h.state = if gang {
+                    TaskState::Waiting
+                } else {
+                    TaskState::Running
+                };
+                h.until = now.plus(spec.estimate);
+            }
+            TaskState::Waiting if waiting.get(&id.0) == Some(&spec.tasks) => {
+                h.state = TaskState::Running;
+                h.until = now.plus(spec.estimate);
+            }
+            TaskState::Running if now >= h.until && spec.kind != Kind::Service => {
+                *completions.entry(id.clone()).or_default() += 1;
+                h.state = TaskState::Exited {
+                    cause: Cause::Done,
+                    saved: false,
+                };
+            }
+            _ => {}
+        }
+    }
+}
