Guests are stopped before any own work; report on minutes of load; large modules split

Cause: a report on two cells under load showed services of the host waiting up to 3.3 s beside guests and 0.5 s without: a service of lower priority was stopped instead of a guest. Guests now count as no loss when room is made. Change: commit.rs, capacity.rs and mod.rs of the scheduler, the test of meetings and the simulated controllers are split into modules with one job (moves only); EarlierLeaders for Silence; settings on cells refuse numbers that are not finite.

--- a/crates/saltpitch-cells/src/settings.rs
+++ b/crates/saltpitch-cells/src/settings.rs
@@ -12,8 +12,15 @@
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum SettingsError {
     /// It is not TOML, or a field is missing, unknown or of the wrong type.
-    #[error("cells: {0}")]
-    Unreadable(String),
+    #[error("cells: line {line}, `{content}`: {reason}")]
+    Unreadable {
+        /// Where, counted from 1.
+        line: usize,
+        /// What is there.
+        content: String,
+        /// What is wrong with it.
+        reason: String,
+    },
     /// A field has a value that it may not have.
     #[error("cells: field `{field}` {reason}")]
     Field {
@@ -25,6 +32,18 @@
 }
 
 impl SettingsError {
+    fn unreadable(text: &str, error: &toml::de::Error) -> SettingsError {
+        let start = error.span().map_or(0, |span| span.start);
+        let before = text.get(..start).unwrap_or_default();
+        let line = before.matches('\n').count() + 1;
+        let content = text.lines().nth(line - 1).unwrap_or_default();
+        SettingsError::Unreadable {
+            line,
+            content: content.trim().to_owned(),
+            reason: error.message().to_owned(),
+        }
+    }
+
     fn field(field: impl Into<String>, reason: impl Into<String>) -> SettingsError {
         SettingsError::Field {
             field: field.into(),
@@ -85,22 +104,22 @@
     #[garde(length(min = 1, max = 32))]
     pub addresses: Vec<SocketAddr>,
     /// The time within which the neighbour removes the tasks of a cancelled job.
-    #[garde(range(min = 0.1, max = 86_400.0))]
+    #[garde(range(min = 0.1, max = 86_400.0), custom(finite))]
     pub cancel_s: f64,
     /// The machine types that the neighbour has.
     #[garde(length(min = 1, max = 100))]
     pub machine_types: Vec<String>,
     /// How long a job waits at home before it is lent.
     #[serde(default = "default_after_s")]
-    #[garde(range(min = 1.0, max = 86_400.0))]
+    #[garde(range(min = 1.0, max = 86_400.0), custom(finite))]
     pub after_s: f64,
     /// Jobs whose tasks run for less than this stay.
     #[serde(default = "default_min_run_s")]
-    #[garde(range(min = 0.0, max = 86_400.0))]
+    #[garde(range(min = 0.0, max = 86_400.0), custom(finite))]
     pub min_run_s: f64,
     /// How long home must have had room for a lent job that does not run before it is fetched back.
     #[serde(default = "default_recall_after_s")]
-    #[garde(range(min = 1.0, max = 86_400.0))]
+    #[garde(range(min = 1.0, max = 86_400.0), custom(finite))]
     pub recall_after_s: f64,
     /// How often one job may be lent.
     #[serde(default = "default_max_moves")]
@@ -114,11 +133,11 @@
     pub max_tasks: u64,
     /// Calls a second to the neighbour.
     #[serde(default = "default_calls_per_s")]
-    #[garde(range(min = 0.1, max = 1_000.0))]
+    #[garde(range(min = 0.1, max = 1_000.0), custom(finite))]
     pub calls_per_s: f64,
     /// Changes a second in this cell's state service that delegations to the neighbour may take.
     #[serde(default = "default_changes_per_s")]
-    #[garde(range(min = 0.1, max = 1_000.0))]
+    #[garde(range(min = 0.1, max = 1_000.0), custom(finite))]
     pub changes_per_s: f64,
 }
 
@@ -176,6 +195,14 @@
     2
 }
 
+/// A bound alone lets through what is no number at all.
+fn finite(value: &f64, _: &()) -> garde::Result {
+    if value.is_finite() {
+        return Ok(());
+    }
+    Err(garde::Error::new("must be a finite number"))
+}
+
 /// Cells' names become part of ids and of keys in the state service.
 fn cell_name(name: &str, _: &()) -> garde::Result {
     let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
@@ -212,8 +239,8 @@
 impl CellsSettings {
     /// Reads and checks the file.
     pub fn parse(text: &str, site: &Site<'_>) -> Result<CellsSettings, SettingsError> {
-        let settings: CellsSettings = toml::from_str(text)
-            .map_err(|error| SettingsError::Unreadable(error.to_string().trim().to_owned()))?;
+        let settings: CellsSettings =
+            toml::from_str(text).map_err(|error| SettingsError::unreadable(text, &error))?;
         settings.check_ranges()?;
         settings.check_names()?;
         settings.check_teams(site)?;
--- /dev/null
+++ b/crates/saltpitch-cells/tests/steps.rs
@@ -0,0 +1,168 @@
+//! What is done next about a delegation, ids, and which guests are taken.
+
+use saltpitch_cells::home::step::{next_step, CancelTimes, Knowledge, Request, Step, Transition};
+use saltpitch_cells::ids::{guest_id, home_id, sent_id};
+use saltpitch_cells::link::HostStatus;
+use saltpitch_core::records::{Delegation, DelegationState};
+use saltpitch_core::Micros;
+
+const NOW: Micros = Micros::from_secs(1_000);
+const TIMES: CancelTimes = CancelTimes {
+    home: Micros::from_secs(44),
+    host: Micros::from_secs(66),
+};
+
+fn delegation(state: DelegationState) -> Delegation {
+    Delegation {
+        cell: "south".to_owned(),
+        number: 1,
+        state,
+        cancel_requested: false,
+    }
+}
+
+fn cancelled(state: DelegationState) -> Delegation {
+    Delegation {
+        cancel_requested: true,
+        ..delegation(state)
+    }
+}
+
+fn next(delegation: &Delegation, known: &Knowledge) -> Step {
+    next_step(delegation, known, TIMES, NOW)
+}
+
+/// Offered by this leadership; `sent`: a submission has left.
+fn offered(sent: bool) -> Knowledge {
+    let mut known = Knowledge::default();
+    known.submissions.offered_here = true;
+    known.submissions.sent = sent;
+    known
+}
+
+#[test]
+fn a_refused_offer_is_taken_back_only_if_no_submission_can_arrive() {
+    let offer = delegation(DelegationState::Offered);
+    let refused = |known: Knowledge| Knowledge {
+        refused: true,
+        ..known
+    };
+    assert_eq!(next(&offer, &offered(false)), Step::Call(Request::Submit));
+    assert_eq!(
+        next(&offer, &refused(offered(false))),
+        Step::Write(Transition::Return)
+    );
+    assert_eq!(
+        next(&offer, &refused(offered(true))),
+        Step::Call(Request::Close)
+    );
+    // An earlier leader may have sent some.
+    assert_eq!(
+        next(&offer, &refused(Knowledge::default())),
+        Step::Call(Request::Close)
+    );
+    let closed = Knowledge {
+        closed: true,
+        ..refused(offered(true))
+    };
+    assert_eq!(next(&offer, &closed), Step::Write(Transition::Return));
+    assert_eq!(
+        next(&cancelled(DelegationState::Offered), &closed),
+        Step::Write(Transition::Cancel)
+    );
+}
+
+#[test]
+fn an_abort_is_sent_only_after_the_submission_was_answered() {
+    let wanted = Knowledge {
+        ends: true,
+        ..offered(true)
+    };
+    assert_eq!(
+        next(&delegation(DelegationState::Offered), &wanted),
+        Step::Call(Request::Close)
+    );
+    assert_eq!(
+        next(&delegation(DelegationState::Accepted), &wanted),
+        Step::Call(Request::Abort)
+    );
+    assert_eq!(
+        next(&cancelled(DelegationState::Running), &Knowledge::default()),
+        Step::Call(Request::Abort)
+    );
+    let recalled = Knowledge {
+        wanted_back: true,
+        ..Knowledge::default()
+    };
+    assert_eq!(
+        next(&delegation(DelegationState::Accepted), &recalled),
+        Step::Call(Request::Recall)
+    );
+}
+
+#[test]
+fn a_withdrawn_job_is_free_once_its_tasks_must_be_gone() {
+    let heard = |ago: u64| Knowledge {
+        withdrawn_at: Some(NOW.since(Micros::from_secs(ago))),
+        status: Some(HostStatus::Withdrawn),
+        ..Knowledge::default()
+    };
+    let running = delegation(DelegationState::Running);
+    assert!(matches!(next(&running, &heard(0)), Step::Wait(_)));
+    assert!(matches!(next(&running, &heard(66)), Step::Wait(_)));
+    assert_eq!(next(&running, &heard(67)), Step::Write(Transition::Return));
+    // Its user may be told as soon as the tasks are gone within home's time from then.
+    let cancelled = cancelled(DelegationState::Running);
+    assert!(matches!(next(&cancelled, &heard(22)), Step::Wait(_)));
+    assert_eq!(
+        next(&cancelled, &heard(23)),
+        Step::Write(Transition::Cancel)
+    );
+}
+
+#[test]
+fn a_final_answer_counts_whatever_was_wanted() {
+    let done = Knowledge {
+        status: Some(HostStatus::Done),
+        wanted_back: true,
+        ends: true,
+        ..Knowledge::default()
+    };
+    for state in [
+        DelegationState::Offered,
+        DelegationState::Accepted,
+        DelegationState::Running,
+    ] {
+        assert_eq!(
+            next(&cancelled(state), &done),
+            Step::Write(Transition::Complete)
+        );
+    }
+    assert_eq!(
+        next(&delegation(DelegationState::Damaged), &done),
+        Step::Stuck
+    );
+}
+
+#[test]
+fn ids_of_different_delegations_differ_and_lead_back() {
+    assert_eq!(
+        sent_id("job-000412", 3).as_deref(),
+        Some("job-000412000003")
+    );
+    assert_ne!(sent_id("job-1", 11), sent_id("job-10", 1));
+    assert_eq!(home_id("job-000412000003"), Some("job-000412"));
+    assert_eq!(guest_id("north", "job-1000001"), "north.job-1000001");
+    // What would be no id that a cell accepts is not lent.
+    assert!(sent_id(&format!("job-{}", "1".repeat(34)), 1).is_some());
+    for (job, number) in [
+        ("job-", 1),
+        ("other-1", 1),
+        ("job-1x", 1),
+        ("job-1", 1_000_000),
+    ] {
+        assert_eq!(sent_id(job, number), None, "{job}");
+    }
+    assert_eq!(sent_id(&format!("job-{}", "1".repeat(35)), 1), None);
+    assert_eq!(home_id("job-000001"), None);
+}
--- a/crates/saltpitch-core/src/leader/blocks.rs
+++ b/crates/saltpitch-core/src/leader/blocks.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-use super::commit::{json, Batch, Pending};
+use super::transaction::{json, Batch, Pending};
 use super::{Config, Leader};
 use crate::cluster::{Machine, Phase};
 use crate::records::{block_key, BlockRecord, MachineRecord, View, BLOCK};
--- a/crates/saltpitch-core/src/leader/commit.rs
+++ b/crates/saltpitch-core/src/leader/commit.rs
@@ -1,18 +1,11 @@
 //! Records against memory: one transaction at a time, conditioned on the term and on the jobs.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
-
-use serde::Serialize;
-
-use super::{Effect, Leader, Place, Task, Write};
+use super::transaction::{Batch, Outcome, Pending};
+use super::{Effect, Leader};
 use crate::cluster::{JobNo, Phase};
 use crate::gang::Gang;
 use crate::job::{JobState, Kind};
-use crate::records::{
-    chunk_key, job_key, log_key, ChunkRecord, Entry, JobRecord, LogRecord, PlaceRecord, View,
-    CHUNK, TERM_KEY,
-};
+use crate::records::{chunk_key, View, CHUNK};
 use crate::time::Micros;
 
 /// Between two transactions, so that changes gather and requests stay within the store's rate.
@@ -22,73 +15,6 @@
 /// Refusals within ten seconds that are taken for a lower limit.
 const THROTTLES: usize = 5;
 
-/// The largest segment.
-const SEGMENT_BYTES: usize = 16 * 1024;
-
-/// What became of a transaction.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Outcome {
-    Done(u64),
-    /// These keys were not as expected.
-    Failed(Vec<String>),
-    /// Not carried out: refused, or no connection.
-    Refused,
-    /// Not carried out: more changes than the store takes now.
-    Throttled,
-    /// Never to be carried out as it stands: larger than the store takes.
-    Rejected,
-    /// No answer: it may have been carried out, or may yet be.
-    Unknown,
-}
-
-/// Machines of a block, and whether the return of each is intended.
-pub(super) type Members = Vec<(Arc<str>, bool)>;
-
-/// The transaction under way.
-#[derive(Default)]
-pub(super) struct Pending {
-    /// The segment's key and the tasks that it speaks of.
-    segment: Option<u32>,
-    tasks: BTreeSet<(JobNo, u32)>,
-    chunks: Vec<(JobNo, u32)>,
-    finals: Vec<JobNo>,
-    pub blocks: Vec<(u32, Members)>,
-    leftovers: Vec<String>,
-}
-
-/// Collects a transaction's parts within its limits.
-pub(super) struct Batch {
-    when: Vec<(String, u64)>,
-    writes: Vec<Write>,
-    bytes: usize,
-    /// The most conditions, whatever the number of writes.
-    max_when: usize,
-}
-
-impl Batch {
-    pub fn fits(&self, ops: usize, writes: usize, bytes: usize, max: usize) -> bool {
-        self.writes.len() + writes <= ops
-            && self.when.len() + 2 * writes <= self.max_when
-            && self.bytes + bytes <= max
-    }
-
-    pub fn when(&mut self, key: String, rev: u64) {
-        if !self.when.iter().any(|w| w.0 == key) {
-            self.bytes += key.len() + 40;
-            self.when.push((key, rev));
-        }
-    }
-
-    pub fn write(&mut self, key: String, value: Option<String>) {
-        self.bytes += key.len() + value.as_ref().map_or(0, String::len) + 40;
-        self.writes.push(Write { key, value });
-    }
-}
-
-pub(super) fn json<T: Serialize>(v: &T) -> Option<String> {
-    serde_json::to_string(v).ok()
-}
-
 impl Leader {
     /// When there is something to write, none being under way.
     pub(super) fn writes_due(&self) -> Option<Micros> {
@@ -127,12 +53,7 @@
             return;
         }
         let max = self.cfg.txn_bytes;
-        let mut b = Batch {
-            when: vec![(TERM_KEY.to_owned(), self.term_rev)],
-            writes: Vec::new(),
-            bytes: 100,
-            max_when: self.cfg.txn_ops * 4,
-        };
+        let mut b = Batch::new(self.term_rev, self.cfg.txn_ops * 4);
         let mut p = Pending::default();
         self.add_segment(&mut b, &mut p, ops, max, now);
         let half = |b: &Batch| b.writes.len() + (ops - b.writes.len()).div_ceil(2);
@@ -167,150 +88,6 @@
         });
     }
 
-    fn add_finals(&mut self, b: &mut Batch, p: &mut Pending, ops: usize, max: usize) {
-        while let Some(&no) = self.final_jobs.first() {
-            let Some(job) = self.jobs.get(&no) else {
-                self.final_jobs.remove(&no);
-                continue;
-            };
-            if !b.fits(ops, 1, 400, max) {
-                return;
-            }
-            let state = match job.state {
-                JobState::Cancelled => JobState::Cancelled,
-                _ => JobState::Done,
-            };
-            let finished = job.done_at.map(|at| self.wall_offset.plus(at));
-            let finished = finished.filter(|_| state == JobState::Done);
-            b.when(job_key(&job.id), job.rev);
-            b.write(job_key(&job.id), json(&JobRecord::over(state, finished)));
-            self.final_jobs.remove(&no);
-            for task in 0..job.spec.tasks {
-                self.dirty.remove(no, task);
-            }
-            p.finals.push(no);
-        }
-    }
-
-    /// Adds a segment with all that is dirty, what is due first, as far as it goes in one value.
-    fn add_segment(&mut self, b: &mut Batch, p: &mut Pending, ops: usize, max: usize, now: Micros) {
-        if self.dirty.queue.first().is_none_or(|d| d.0 > now) {
-            return;
-        }
-        if !self.slot_is_free() {
-            self.log_state.blocked_since.get_or_insert(now);
-            return;
-        }
-        self.log_state.blocked_since = None;
-        let limit = (self.cfg.value_bytes * 7 / 8)
-            .min(SEGMENT_BYTES)
-            .min(max / 2);
-        let mut entries: BTreeMap<JobNo, Vec<Entry>> = BTreeMap::new();
-        let mut bytes = 60;
-        // Placements are on condition of their job. The segment's own key and the other writes need
-        // conditions as well.
-        let spare = b.max_when.saturating_sub(b.when.len() + 2 * ops).max(1);
-        let mut placed: BTreeSet<JobNo> = BTreeSet::new();
-        while let Some(&(_, no, task)) = self.dirty.queue.first() {
-            let Some(job) = self.jobs.get_mut(&no) else {
-                self.dirty.remove(no, task);
-                continue;
-            };
-            let head = if entries.contains_key(&no) {
-                0
-            } else {
-                job.id.len() + 8
-            };
-            let places = job.tasks[task as usize].place.is_some() && !placed.contains(&no);
-            let name = job.tasks[task as usize].place.as_ref();
-            let size = name.map_or(0, |p| p.machine.len()) + 32;
-            if bytes + head + size > limit || (places && placed.len() >= spare) {
-                break;
-            }
-            if places {
-                placed.insert(no);
-            }
-            self.dirty.remove(no, task);
-            let entry = entry_of(task, &mut job.tasks[task as usize], job.gang);
-            bytes += head + size;
-            entries.entry(no).or_default().push(entry);
-            p.tasks.insert((no, task));
-        }
-        if entries.is_empty() {
-            return;
-        }
-        let mut rec = LogRecord {
-            no: self.log.next,
-            entries: Vec::with_capacity(entries.len()),
-        };
-        for (no, list) in entries {
-            if let Some(job) = self.jobs.get(&no) {
-                // Nothing is placed for a job that was cancelled meanwhile.
-                if list.iter().any(|e| !e.2.is_empty()) {
-                    b.when(job_key(&job.id), job.rev);
-                }
-                rec.entries.push((job.id.to_string(), list));
-            }
-        }
-        let slot = self.log.slot();
-        let rev = self.log.revs.get(&slot).copied().unwrap_or(0);
-        b.when(log_key(slot), rev);
-        b.write(log_key(slot), json(&rec));
-        p.segment = Some(slot);
-    }
-
-    /// Adds checkpoints of what the oldest segments speak of, before these are overwritten.
-    fn add_checkpoints(&mut self, b: &mut Batch, p: &mut Pending, ops: usize, max: usize) {
-        self.forget_segments();
-        let upto = self.log.next - u64::from(p.segment.is_none());
-        // Some way ahead of the segment that is overwritten next: what is placed in a rush and stays,
-        // as services do, would otherwise need hundreds of checkpoints at once.
-        let ahead = self.log.next + self.log.ring / 4 + 1;
-        let old: Vec<(JobNo, u32)> = (self.log.live.iter())
-            .take_while(|(no, _)| **no + self.log.ring < ahead)
-            .take(64)
-            .flat_map(|(no, chunks)| chunks.iter().map(move |c| (*no, *c)))
-            .filter(|(no, (job, c))| self.needs(*no, *job, *c))
-            .map(|(_, chunk)| chunk)
-            .take(ops * 2)
-            .collect();
-        for (no, c) in old {
-            if p.chunks.contains(&(no, c)) || self.log.again.contains_key(&(no, c)) {
-                continue;
-            }
-            let Some(job) = self.jobs.get_mut(&no) else {
-                continue;
-            };
-            let lo = c * CHUNK;
-            let hi = (lo + CHUNK).min(job.spec.tasks);
-            let rec = chunk_record(&job.tasks[lo as usize..hi as usize], job.gang, upto);
-            let Some(value) = json(&rec) else { continue };
-            if value.len() > self.cfg.value_bytes {
-                let from = self.log.next + u64::from(p.segment.is_some());
-                for (task, t) in (lo..hi).zip(&job.tasks[lo as usize..hi as usize]) {
-                    if t.attempt > 0 || t.done {
-                        self.dirty.mark(no, task, self.polled_at);
-                    }
-                }
-                self.log.again.insert((no, c), from);
-                continue;
-            }
-            if !b.fits(ops, 1, value.len() + 200, max) {
-                return;
-            }
-            b.when(job_key(&job.id), job.rev);
-            let key = chunk_key(&job.id, c);
-            b.when(key.clone(), job.chunks[c as usize].0);
-            b.write(key, Some(value));
-            for task in lo..hi {
-                // The checkpoint says it as well.
-                self.dirty.remove(no, task);
-                entry_of(task, &mut job.tasks[task as usize], job.gang);
-            }
-            p.chunks.push((no, c));
-        }
-    }
-
     /// The answer to [`Effect::Txn`].
     pub fn committed(&mut self, outcome: Outcome, now: Micros) {
         let Some(p) = self.txn.take() else {
@@ -544,37 +321,3 @@
         self.wall_offset.plus(now).since(now.since(at))
     }
 }
-
-/// A gang's members go on record at quorum, not before.
-fn on_record(place: &Place, gang: Gang) -> bool {
-    place.committed || !matches!(gang, Gang::Holding { .. })
-}
-
-/// What the log says of a task; its place is part of the transaction from now on.
-fn entry_of(task: u32, t: &mut Task, gang: Gang) -> Entry {
-    let mut entry = Entry(task, t.attempt, String::new(), 0, u8::from(t.done));
-    if let Some(place) = t.place.as_mut().filter(|p| on_record(p, gang)) {
-        place.in_txn = true;
-        entry.2 = place.machine.to_string();
-        entry.3 = place.session;
-    }
-    entry
-}
-
-fn chunk_record(tasks: &[Task], gang: Gang, upto: u64) -> ChunkRecord {
-    let mut rec = ChunkRecord {
-        upto,
-        ..ChunkRecord::default()
-    };
-    for (i, t) in tasks.iter().enumerate() {
-        rec.attempts.push(t.attempt);
-        if t.done {
-            rec.add_done(i as u32);
-        }
-        if let Some(p) = t.place.as_ref().filter(|p| on_record(p, gang)) {
-            rec.places
-                .push(PlaceRecord(i as u32, p.machine.to_string(), p.session));
-        }
-    }
-    rec
-}
--- a/crates/saltpitch-core/src/leader/mod.rs
+++ b/crates/saltpitch-core/src/leader/mod.rs
@@ -14,6 +14,7 @@
 mod faults;
 mod gangs;
 mod interface;
+mod job_state;
 mod jobs;
 mod lending;
 mod log;
@@ -21,13 +22,17 @@
 mod orders;
 mod pace;
 mod pipeline;
+mod pools;
 mod preemption;
 mod reach;
+mod rentals;
 mod rules;
 mod schedule;
 mod service_order;
 mod start;
+mod summary;
 mod tasks;
+mod transaction;
 mod watch;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -36,14 +41,11 @@
 use crate::catalog::{Catalog, Resources};
 use crate::cluster::{JobNo, Machine, Phase};
 use crate::fleet::Fleet;
-use crate::gang::Gang;
-use crate::job::{JobSpec, JobState, Kind, Priority};
+use crate::job::JobSpec;
 use crate::quota::Quota;
-use crate::records::{Guest, ReturnedMachines};
+use crate::records::ReturnedMachines;
 use crate::time::Micros;
 
-pub use capacity::{Refusal, Rented};
-pub use commit::Outcome;
 pub use evidence::Ignored;
 pub use faults::Fault;
 pub use interface::{Aim, Config, Effect, Objective, Write};
@@ -51,6 +53,10 @@
 pub use lending::LendingCandidate;
 pub use machine_list::ListedMachine;
 pub use orders::Ordered;
+pub use rentals::{Refusal, Rented};
+pub use transaction::Outcome;
+
+pub(crate) use job_state::{Job, Place, Seen, Stop, Task};
 
 /// A leader whose loops did not run for this long stood still, and so did its reading of reports.
 const STOOD_STILL: Micros = Micros::from_secs(2);
@@ -61,121 +67,6 @@
 /// How fast production's past demand fades from the estimate of what is to come.
 const FADE: Micros = Micros::from_secs(60);
 
-/// A place that a task has, or is assumed to have.
-#[derive(Clone, Debug)]
-pub(crate) struct Place {
-    pub machine: Arc<str>,
-    pub session: u64,
-    pub attempt: u32,
-    /// On record.
-    pub committed: bool,
-    /// Part of the transaction under way.
-    pub in_txn: bool,
-    pub seen: Seen,
-    /// The report whose answer last carried the start.
-    pub sent_seq: u64,
-    pub sent: bool,
-    pub since: Micros,
-    pub running_since: Option<Micros>,
-    pub stop: Option<Stop>,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Seen {
-    No,
-    Fetching,
-    Waiting,
-    Running,
-    Saving,
-}
-
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Stop {
-    pub grace: Micros,
-    pub since: Micros,
-}
-
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Task {
-    pub attempt: u32,
-    pub done: bool,
-    pub place: Option<Box<Place>>,
-}
-
-pub(crate) struct Job {
-    pub id: Arc<str>,
-    pub spec: Arc<JobSpec>,
-    /// Its class and its team in the leader's tables.
-    pub class: usize,
-    pub team: usize,
-    pub rev: u64,
-    pub state: JobState,
-    /// Which cell it is with.
-    pub owner: lending::Owner,
-    /// When it last came back from another cell.
-    pub came_back_at: Micros,
-    /// The cell that it is run for, if that is another one.
-    pub guest: Option<Guest>,
-    /// On this node's steady clock.
-    pub submitted: Micros,
-    /// When its waits began: submitted, or released by the last job that it needs.
-    pub queued: Micros,
-    /// Jobs that it needs and that are not done yet. As long as there are any, it is in no queue and
-    /// holds nothing of its team's limit or guarantee.
-    pub unmet: BTreeSet<Arc<str>>,
-    /// The highest priority of this job and of those that need it, and until when it must be done for
-    /// their deadlines.
-    pub priority: Priority,
-    pub due: Option<Micros>,
-    /// When its last task was found done.
-    pub done_at: Option<Micros>,
-    pub tasks: Vec<Task>,
-    /// Neither done nor placed.
-    pub idle: BTreeSet<u32>,
-    pub placed: u32,
-    pub done: u32,
-    /// Revision of each chunk record (0: not there), and the log's segment up to which it holds.
-    pub chunks: Vec<(u64, u64)>,
-    pub gang: Gang,
-    pub not_before: Micros,
-    /// When it became idle as a whole again.
-    pub parked_at: Micros,
-    /// When a task of it was placed last.
-    pub served_at: Micros,
-    pub failures: failures::FailureHistory,
-    /// Tasks that failed and wait before they are tried again: neither idle nor placed.
-    pub deferred: BTreeSet<u32>,
-    /// Not before then is room to be made for it again.
-    pub search_after: Micros,
-    /// Room is being made where its image is: it waits for that until then.
-    pub room_by: Option<Micros>,
-    /// All tasks were placed at one time.
-    pub started: bool,
-    pub zones: BTreeMap<Arc<str>, u32>,
-    /// Its place in the order of service, as of the last pass; the last as long as there was none.
-    pub rank: u8,
-}
-
-impl Job {
-    /// Every task has completed.
-    fn complete(&self) -> bool {
-        self.spec.kind != Kind::Service && self.done == self.spec.tasks
-    }
-
-    fn active(&self) -> bool {
-        let here = self.owner == lending::Owner::Here;
-        here && self.state == JobState::Active && !self.complete() && self.unmet.is_empty()
-    }
-
-    /// Started work, or work to come, per task.
-    fn next_attempt(&self, task: u32) -> u32 {
-        match self.spec.kind {
-            Kind::Gang => self.tasks.iter().map(|t| t.attempt).max().unwrap_or(0) + 1,
-            _ => self.tasks[task as usize].attempt + 1,
-        }
-    }
-}
-
 /// What is known of a class of jobs.
 struct Class {
     name: String,
@@ -186,26 +77,6 @@
     mean_tasks: f64,
 }
 
-/// The machines of one type, for the log.
-struct TypeUsage<'a> {
-    name: &'a str,
-    machines: u64,
-    used: Resources,
-    all: Resources,
-}
-
-impl std::fmt::Display for TypeUsage<'_> {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let (used, all) = (self.used.cpu / 1_000, self.all.cpu / 1_000);
-        write!(f, "{} {}: {used}/{all}", self.name, self.machines)?;
-        if self.all.gpu > 0 {
-            let (used, all) = (self.used.gpu / 1_000, self.all.gpu / 1_000);
-            write!(f, " and {used}/{all} accelerators")?;
-        }
-        Ok(())
-    }
-}
-
 pub struct Leader {
     cfg: Config,
     /// Sent with every order.
@@ -255,7 +126,7 @@
     gone_machines: ReturnedMachines,
     log: log::Log,
     leftovers: VecDeque<String>,
-    txn: Option<commit::Pending>,
+    txn: Option<transaction::Pending>,
     paused: bool,
     refresh_out: bool,
     next_txn: Micros,
@@ -287,7 +158,7 @@
     effects: Vec<Effect>,
     raise_out: bool,
     // Renting.
-    rents: Vec<capacity::Renting>,
+    rents: Vec<rentals::Renting>,
     rent_pace: pace::Pace,
     /// How often each type, zone and kind was asked for in this rush, and when last.
     rents_asked: HashMap<(String, String, bool), (u32, Micros)>,
@@ -485,55 +356,6 @@
         all
     }
 
-    /// What the machines that are up give and how much of it is in use, by type.
-    fn usage(&self) -> BTreeMap<&str, TypeUsage<'_>> {
-        let mut by_type: BTreeMap<&str, TypeUsage> = BTreeMap::new();
-        for m in self.machines.values().filter(|m| m.is_up()) {
-            let usage = by_type.entry(&m.kind.name).or_insert(TypeUsage {
-                name: &m.kind.name,
-                machines: 0,
-                used: Resources::default(),
-                all: Resources::default(),
-            });
-            usage.machines += 1;
-            usage.used = usage.used.plus(&m.used);
-            usage.all = usage.all.plus(&m.kind.size);
-        }
-        by_type
-    }
-
-    /// One line for the log.
-    pub fn summary(&self) -> String {
-        let idle: usize = self
-            .jobs
-            .values()
-            .filter(|j| j.active())
-            .map(|j| j.idle.len())
-            .sum();
-        let placed: u32 = self.jobs.values().map(|j| j.placed).sum();
-        let lost = self
-            .machines
-            .values()
-            .filter(|m| m.is_up() && !m.takes_tasks());
-        let up = self.machines.values().filter(|m| m.is_up()).count();
-        let room: Vec<String> = self.usage().values().map(TypeUsage::to_string).collect();
-        format!(
-            "term {} jobs {} waiting {} placed {} machines {} up {} ({} closed) [{}] dirty {} log {} free {} paused {}",
-            self.term,
-            self.jobs.len(),
-            idle,
-            placed,
-            self.machines.len(),
-            up,
-            lost.count(),
-            room.join(", "),
-            self.dirty.len() + self.final_jobs.len() + self.blocks.dirty(),
-            self.log.next(),
-            self.log.room(),
-            self.paused
-        )
-    }
-
     /// Room that `need` takes on a machine, for tests and rules.
     pub fn used_by(&self, team: &str) -> Resources {
         self.quota.used(self.quota.number(team))
--- a/crates/saltpitch-core/src/leader/preemption.rs
+++ b/crates/saltpitch-core/src/leader/preemption.rs
@@ -212,8 +212,10 @@
                     _ => now.since(place.since).times(0.2),
                 };
                 // Production waits for nobody's save: what is lost then is the time since the last
-                // checkpoint.
+                // checkpoint. Guests go first, whatever they lose: this cell's own work is never stopped
+                // where stopping them will do.
                 let lost = match (spec.priority, other.spec.saves()) {
+                    _ if other.guest.is_some() => Micros::ZERO,
                     (Priority::Production, true) => Micros(ran.0 % other.spec.checkpoint.0),
                     (_, true) => other.spec.save,
                     _ => ran,
--- a/crates/saltpitch-core/src/leadership.rs
+++ b/crates/saltpitch-core/src/leadership.rs
@@ -41,7 +41,7 @@
 
 /// From when on no earlier leader can answer a worker.
 #[derive(Clone, Debug)]
-pub struct Silence {
+pub struct EarlierLeaders {
     /// The leader before, if it is not proven gone.
     pub previous: Option<(String, u64)>,
     /// When the leaders before that one are silent.
@@ -117,7 +117,7 @@
 impl Bid {
     /// The bid was carried out at `rev`. None if the records have gone on since: then the office is
     /// another's already.
-    pub fn won(self, view: &View, rev: u64, bound: Micros, now: Micros) -> Option<Silence> {
+    pub fn won(self, view: &View, rev: u64, bound: Micros, now: Micros) -> Option<EarlierLeaders> {
         if view.term.0 != rev {
             return None;
         }
@@ -129,7 +129,7 @@
             Some(_) => earlier_at.max(now.plus(bound)),
             None => earlier_at,
         };
-        Some(Silence {
+        Some(EarlierLeaders {
             previous,
             earlier_at,
             all_at,
--- a/crates/saltpitch-testkit/src/cells.rs
+++ b/crates/saltpitch-testkit/src/cells.rs
@@ -32,6 +32,8 @@
 /// The team of the other cell's jobs.
 pub const GUESTS: &str = "guests";
 
+/// The time of day at which the cells begin.
+const BEGIN: Micros = Micros::from_secs(60);
 /// How long a call is waited for.
 const CALL_TIMEOUT: Micros = Micros::from_secs(2);
 /// How often each controller looks after its delegations.
@@ -53,6 +55,9 @@
     LosesAnswers,
     /// Answers take up to several seconds.
     IsSlow,
+    /// Says that connections are refused and delivers later nevertheless, which no network does: for tests
+    /// of the checker.
+    Lies,
 }
 
 /// One controller's side of its cell's delegations, while it leads.
@@ -71,6 +76,8 @@
     pub link: LinkState,
     /// When a copy of each request is delivered again: one in so many, none for 0.
     pub copies: u64,
+    /// Whether it listens for the other one.
+    pub listens: bool,
     leading: [Option<Leading>; SITE.len()],
     door: Door,
 }
@@ -93,6 +100,8 @@
     pub now: Micros,
     /// Calls made over the links.
     pub calls: u64,
+    /// What the cells' logs say of delegations.
+    pub log: Vec<String>,
     random: SmallRng,
     queue: BTreeMap<(Micros, u64), Event>,
     held: Vec<(usize, Event)>,
@@ -168,6 +177,7 @@
             settings,
             link: LinkState::Works,
             copies: 0,
+            listens: true,
             leading: Default::default(),
             door,
         }
@@ -186,7 +196,7 @@
     /// Serves a neighbour's request as the program does; `None`: the connection is refused.
     fn serve(&mut self, node: usize, request: &LinkRequest) -> Option<LinkAnswer> {
         let up = self.world.nodes[node].is_up(self.world.now) && self.world.nodes[node].started;
-        if !up {
+        if !up || !self.listens {
             return None;
         }
         if !self.serves(node) {
@@ -275,8 +285,9 @@
         let cell = |at| Cell::new(at, seed, faults, quiet_from);
         Cells {
             cells: [cell(0), cell(1)],
-            now: Micros::ZERO,
+            now: BEGIN,
             calls: 0,
+            log: Vec::new(),
             random: SmallRng::seed_from_u64(seed),
             queue: BTreeMap::new(),
             held: Vec::new(),
@@ -291,7 +302,7 @@
 
     /// Plays on until `until`, in the cells' own time.
     pub fn run(&mut self, until: Micros) -> Result<(), String> {
-        let until = until.plus(Micros::from_secs(60));
+        let until = until.plus(BEGIN);
         while self.now < until {
             self.step()
                 .map_err(|e| format!("at {:.1} s: {e}", self.now.as_secs_f64() - 60.0))?;
@@ -373,11 +384,12 @@
             delegator: Delegator::new(settings, cancel, seed),
         }));
         let effects = leading.delegator.poll(&mut access, now, now);
-        if std::env::var_os("CELLS_LOG").is_some() {
-            for notice in leading.delegator.take_notices() {
-                eprintln!("{:.1} {}: {notice}", now.as_secs_f64() - 60.0, NAMES[cell]);
-            }
-        }
+        let at = now.as_secs_f64() - 60.0;
+        let notices = leading.delegator.take_notices();
+        let lines = notices
+            .iter()
+            .map(|n| format!("{at:.1} {}: {n}", NAMES[cell]));
+        self.log.extend(lines);
         let asker = Asker { cell, node, epoch };
         for effect in effects {
             match effect {
@@ -475,15 +487,17 @@
             LinkState::Refuses => self.after(delay, move |cells| {
                 cells.answered(asker, id, LinkAnswer::NotSent);
             }),
-            LinkState::Holds => {
+            LinkState::Holds | LinkState::Lies => {
                 let host = 1 - asker.cell;
                 let late = move |cells: &mut Cells| {
                     cells.cells[host].serve(node, &call.request);
                 };
                 self.held.push((asker.cell, Box::new(late)));
-                self.after(CALL_TIMEOUT, move |cells| {
-                    cells.answered(asker, id, LinkAnswer::NoAnswer);
-                });
+                let answer = match state {
+                    LinkState::Lies => LinkAnswer::NotSent,
+                    _ => LinkAnswer::NoAnswer,
+                };
+                self.after(CALL_TIMEOUT, move |cells| cells.answered(asker, id, answer));
             }
             LinkState::Works | LinkState::LosesAnswers | LinkState::IsSlow => {
                 self.after(delay, move |cells| cells.arrives(asker, node, call));
--- a/crates/saltpitch-testkit/src/world/mod.rs
+++ b/crates/saltpitch-testkit/src/world/mod.rs
@@ -27,6 +27,7 @@
 
 mod cloud;
 mod controllers;
+mod effects;
 mod machines;
 mod observe;
 mod troubles;
--- a/crates/saltpitch-testkit/tests/cells.rs
+++ b/crates/saltpitch-testkit/tests/cells.rs
@@ -72,7 +72,11 @@
 fn until(cells: &mut Cells, within: u64, reached: impl Fn(&Cells) -> bool) {
     let end = cells.now.plus(seconds(within));
     while !reached(cells) {
-        assert!(cells.now < end, "not reached within {within} s");
+        assert!(
+            cells.now < end,
+            "not reached within {within} s: {:#?}",
+            cells.log
+        );
         let step = cells.step();
         step.unwrap_or_else(|error| panic!("at {:.1} s: {error}", cells.now.as_secs_f64() - 60.0));
     }
@@ -294,6 +298,126 @@
     until(&mut cells, 120, |c| c.cells[HOME].world.is_done("job-0010"));
 }
 
+#[test]
+fn lent_work_rents_nothing_at_the_host() {
+    let mut cells = Cells::new(11, Faults::default(), Micros::ZERO);
+    cells.cells[HOME].world.machine_limit = 0;
+    submit(&mut cells, "job-0010", 2, 30);
+    let accepted = |c: &Cells| delegation(c, "job-0010") == Some(DelegationState::Accepted);
+    until(&mut cells, 60, accepted);
+    let now = cells.now.since(seconds(60));
+    cells.run(now.plus(seconds(60))).expect("no rule broken");
+    assert!(cells.cells[HOST].world.workers.is_empty());
+    cells.cells[HOME].world.machine_limit = 3;
+    until(&mut cells, 200, |c| c.cells[HOME].world.is_done("job-0010"));
+}
+
+#[test]
+fn a_neighbour_that_stops_listening_keeps_what_it_has_and_gets_no_more() {
+    let mut cells = full_home(12);
+    submit(&mut cells, "job-0010", 2, 20);
+    until(&mut cells, 60, |c| {
+        delegation(c, "job-0010") == Some(DelegationState::Running)
+    });
+    cells.cells[HOST].listens = false;
+    submit(&mut cells, "job-0020", 1, 20);
+    let now = cells.now.since(seconds(60));
+    cells.run(now.plus(seconds(60))).expect("no rule broken");
+    assert!(
+        !cells.cells[HOME].world.is_done("job-0010"),
+        "nobody has said so"
+    );
+    assert_ne!(
+        delegation(&cells, "job-0020"),
+        Some(DelegationState::Accepted)
+    );
+    cells.cells[HOST].listens = true;
+    until(&mut cells, 60, |c| c.cells[HOME].world.is_done("job-0010"));
+}
+
+#[test]
+fn a_host_that_has_lost_its_records_is_not_sent_the_job_again() {
+    let mut cells = full_home(13);
+    submit(&mut cells, "job-0010", 1, 300);
+    until(&mut cells, 60, |c| {
+        delegation(c, "job-0010") == Some(DelegationState::Running)
+    });
+    let guest = format!("{}.job-0010000001", NAMES[HOME]);
+    let key = job_key(&guest);
+    let lost = saltpitch_core::leader::Write {
+        key: key.clone(),
+        value: None,
+    };
+    cells.cells[HOST].world.store.txn(&[], &[lost], None);
+    for node in 0..3 {
+        cells.cells[HOST].world.crash_for(node, seconds(1));
+    }
+    // The host's checker would call its own job forgotten; home's answer is what counts here.
+    cells.cells[HOST].world.jobs.remove(&guest);
+    let leader = cells.cells[HOME].world.leader().expect("a leader");
+    cells.cells[HOME].world.crash_for(leader, seconds(2));
+    for _ in 0..20_000 {
+        let _ = cells.step();
+    }
+    assert!(!cells.cells[HOST].world.store.keys.contains_key(&key));
+    assert_eq!(
+        delegation(&cells, "job-0010"),
+        Some(DelegationState::Running)
+    );
+    assert!(cells
+        .log
+        .iter()
+        .any(|line| line.contains("does not know it any more")));
+}
+
+/// The checker sees a job that two cells own: here because home believes that the host's machines drop
+/// tasks sooner than they do.
+#[test]
+fn the_checker_sees_a_job_that_is_taken_back_too_early() {
+    let mut cells = Cells::new(14, Faults::default(), Micros::ZERO);
+    if let Some(lend) = &mut cells.cells[HOME].settings.neighbour[0].lend {
+        lend.cancel_s = 0.1;
+    }
+    cells.cells[HOME].world.machine_limit = 0;
+    keep_machines(&mut cells, HOST, 2);
+    submit(&mut cells, "job-0010", 2, 300);
+    let guest = format!("{}.job-0010000001", NAMES[HOME]);
+    until(&mut cells, 90, |c| c.cells[HOST].world.running(&guest) == 2);
+    // The host cannot tell its machines.
+    let deaf_until = cells.now.plus(seconds(120));
+    for machine in cells.cells[HOST].world.workers.values_mut() {
+        machine.deaf_until = deaf_until;
+    }
+    let world = &mut cells.cells[HOME].world;
+    let follower = (0..3)
+        .find(|n| Some(*n) != world.leader())
+        .expect("a follower");
+    world.crash_for(follower, seconds(1));
+    world.nodes[follower].knows_delegations = false;
+    let now = cells.now.since(seconds(60));
+    let broken = cells
+        .run(now.plus(seconds(60)))
+        .expect_err("a rule is broken");
+    assert!(broken.contains("owned_twice"), "{broken}");
+}
+
+/// And one that a submission reaches which home was told had never left.
+#[test]
+fn the_checker_sees_a_submission_that_arrives_after_its_end() {
+    let mut cells = full_home(15);
+    submit(&mut cells, "job-0010", 1, 20);
+    until(&mut cells, 60, |c| delegation(c, "job-0010").is_some());
+    cells.set_link(HOME, LinkState::Lies);
+    let returned = |c: &Cells| delegation(c, "job-0010") == Some(DelegationState::Returned);
+    until(&mut cells, 60, returned);
+    cells.set_link(HOME, LinkState::Works);
+    let now = cells.now.since(seconds(60));
+    let broken = cells
+        .run(now.plus(seconds(10)))
+        .expect_err("a rule is broken");
+    assert!(broken.contains("owned_twice"), "{broken}");
+}
+
 /// One history with everything at random.
 fn history(seed: u64, faults: Faults) -> Result<Cells, String> {
     let mut cells = Cells::new(seed, faults, seconds(240));
--- /dev/null
+++ b/crates/saltpitch-testkit/tests/meetings/messages.rs
@@ -0,0 +1,174 @@
+//! Late, held and repeated messages that meet a change of leader.
+
+use saltpitch_core::job::Kind;
+use saltpitch_core::Micros;
+use saltpitch_testkit::{Faults, World};
+
+use crate::common::{all_over, at_work, disturb, plain, run, secs};
+
+#[test]
+fn writes_carried_out_late_after_newer_ones_of_the_same_leader() {
+    for seed in 140..148 {
+        let (mut w, ids, leader) = at_work(seed, 3);
+        w.late_writes_until = w.now.plus(secs(40));
+        for round in 0..6 {
+            disturb(&mut w, seed, round);
+            run(&mut w, seed, 45 + round * 7);
+            if round == 2 {
+                w.cancel(&ids[0]);
+            }
+            if round == 4 && seed % 2 == 0 {
+                w.crash_for(leader, Micros::from_millis(300));
+            }
+        }
+        run(&mut w, seed, 900);
+        all_over(&w, seed);
+    }
+}
+
+/// The same, and the leader ends some time after: what the late ones did to the records is what the next
+/// one goes by.
+#[test]
+fn a_leader_ends_after_its_writes_came_late() {
+    for seed in 400..424 {
+        let (mut w, _, leader) = at_work(seed, 2);
+        w.late_writes_until = w.now.plus(secs(5));
+        for round in 0..5 {
+            disturb(&mut w, seed, round);
+            let spec = plain(&mut w, Kind::Array, 3, 40);
+            w.submit(&format!("job-9{seed:03}{round}0"), spec);
+            run(&mut w, seed, 41 + round);
+        }
+        run(&mut w, seed, 47 + seed % 14);
+        w.crash_for(leader, secs(5));
+        run(&mut w, seed, 900);
+        all_over(&w, seed);
+    }
+}
+
+/// A report from an earlier session, and one of an earlier attempt, come after newer ones.
+#[test]
+fn old_reports_arrive_after_newer_ones() {
+    for seed in 160..168 {
+        let (mut w, ids, leader) = at_work(seed, 3);
+        let name = (w.workers.values())
+            .find(|m| !m.gone && m.tasks.values().any(|h| h.on()))
+            .map(|m| m.name.clone())
+            .expect("one at work");
+        let old = w.workers[&name].copy();
+        // Its lease runs out and its tasks go elsewhere, or it is cancelled, or both.
+        w.workers.get_mut(&name).expect("there").deaf_until = w.now.plus(secs(17));
+        if seed % 2 == 0 {
+            w.cancel(&ids[0]);
+        }
+        for at in [44, 56, 60, 70, 90] {
+            run(&mut w, seed, at);
+            let n = w.leader().unwrap_or(leader);
+            w.deliver_copy(n, old.clone());
+        }
+        run(&mut w, seed, 900);
+        all_over(&w, seed);
+    }
+}
+
+/// Starts, stops and their answers are held up while the machine hangs; then it goes on.
+#[test]
+fn commands_held_up_while_a_machine_hangs_and_then_goes_on() {
+    for seed in 170..178 {
+        let (mut w, ids, _) = at_work(seed, 3);
+        let busy: Vec<String> = w.workers.keys().take(3).cloned().collect();
+        disturb(&mut w, seed, 0);
+        let placed = w.now.plus(Micros::from_millis(100 * (1 + seed % 8)));
+        while w.now < placed {
+            w.step().expect("no rule is broken");
+        }
+        for name in &busy {
+            let until = w.now.plus(secs(4 + seed % 9));
+            w.workers.get_mut(name).expect("there").hung_until = until;
+        }
+        w.cancel(&ids[0]);
+        run(&mut w, seed, 44);
+        w.cancel(&ids[1]);
+        run(&mut w, seed, 900);
+        all_over(&w, seed);
+    }
+}
+
+/// Direct orders that stay without an answer and are carried out up to twenty seconds later, starts of
+/// jobs that are cancelled meanwhile among them.
+#[test]
+fn direct_orders_are_carried_out_long_after_they_were_given_up() {
+    for seed in 430..446 {
+        let losses = Faults {
+            losses: true,
+            ..Faults::default()
+        };
+        let mut w = World::new(seed, losses, Micros::ZERO);
+        run(&mut w, seed, 5);
+        for t in 0..30u64 {
+            let id = format!("job-{seed:03}{t:02}0");
+            let kind = if t % 4 == 0 { Kind::Gang } else { Kind::Array };
+            let spec = plain(&mut w, kind, 2, 8);
+            w.submit(&id, spec);
+            run(&mut w, seed, 6 + t * 2);
+            if t % 2 == 0 {
+                w.cancel(&id);
+            }
+            if t % 10 == 9 {
+                if let Some(m) = w.workers.values_mut().find(|m| !m.gone) {
+                    m.hung_until = w.now.plus(secs(5));
+                }
+            }
+        }
+        w.heal();
+        run(&mut w, seed, 600);
+        all_over(&w, seed);
+    }
+}
+
+/// The store answers slowly, then refuses the leader alone, then all, while users cancel and ask.
+#[test]
+fn the_store_is_slow_then_refuses_the_leader_then_everybody() {
+    for seed in 180..188 {
+        let (mut w, ids, leader) = at_work(seed, 5);
+        w.late_writes_until = w.now.plus(secs(6));
+        w.cancel(&ids[0]);
+        disturb(&mut w, seed, 0);
+        run(&mut w, seed, 45);
+        w.cancel(&ids[1]);
+        w.nodes[leader].no_store_until = w.now.plus(secs(2 + seed % 12));
+        run(&mut w, seed, 46);
+        w.cancel(&ids[2]);
+        run(&mut w, seed, 47);
+        w.store.down = true;
+        run(&mut w, seed, 47 + 60);
+        w.store.down = false;
+        w.cancel(&ids[3]);
+        run(&mut w, seed, 900);
+        all_over(&w, seed);
+    }
+}
+
+/// A report is held back until a new leader has acted on what it knows, and then arrives there.
+#[test]
+fn a_report_is_held_back_until_a_new_leader_has_acted() {
+    for seed in 260..270 {
+        let (mut w, ids, leader) = at_work(seed, 4);
+        let held: Vec<_> = w.workers.values().map(|m| m.copy()).collect();
+        w.crash_for(leader, secs(5));
+        w.cancel(&ids[0]);
+        run(&mut w, seed, 48 + seed % 10);
+        disturb(&mut w, seed, 0);
+        w.cancel(&ids[1]);
+        for i in 0..4 {
+            run(&mut w, seed, 60 + i * 5);
+            if let Some(n) = w.leader() {
+                for r in &held {
+                    w.deliver_copy(n, r.clone());
+                }
+            }
+        }
+        run(&mut w, seed, 1_500);
+        all_over(&w, seed);
+    }
+}
--- a/crates/saltpitch/tests/end_to_end/two_cells.rs
+++ b/crates/saltpitch/tests/end_to_end/two_cells.rs
@@ -1,6 +1,8 @@
 //! Two cells of three controllers each, with a link that is cut and restored under load.
 
 mod link;
+mod load;
+mod report;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -9,7 +11,7 @@
 
 use link::Link;
 use poem::http::Method;
-use saltpitch_core::job::{JobState, Kind};
+use saltpitch_core::job::{JobState, Kind, Priority};
 use saltpitch_core::records::DelegationState;
 use saltpitch_core::Micros;
 use serde_json::json;
@@ -63,19 +65,18 @@
 impl TwoCells {
     /// Starts both; the host keeps machines up with room beside its services, the home can rent none.
     async fn start() -> TwoCells {
+        TwoCells::start_with(true).await
+    }
+
+    /// The same, with or without a file on cells at home.
+    async fn start_with(spilling: bool) -> TwoCells {
         let listen: Vec<_> = (0..CONTROLLERS).map(|_| free_addr()).collect();
         let links: Vec<Link> = listen.iter().map(|address| Link::start(*address)).collect();
-        let host = Cell::start(HOST, &host_file(&listen)).await;
-        let home = Cell::start(HOME, &home_file(&links)).await;
+        let host = Cell::start(HOST, Some(host_file(&listen))).await;
+        let file = spilling.then(|| home_file(&links));
+        let home = Cell::start(HOME, file).await;
         home.site.lock().expect("lock").max_machines = 0;
-        submit(
-            &host.site,
-            host.addresses.api[0],
-            "job-000900",
-            Kind::Service,
-            5,
-        )
-        .await;
+        submit_service(&host, "job-000900", 5).await;
         wait_for(host.addresses.api[1], "job-000900", "running").await;
         TwoCells { home, host, links }
     }
@@ -122,10 +123,18 @@
     }
 }
 
+/// Submits a service of production to a cell.
+async fn submit_service(cell: &Cell, id: &str, replicas: u32) {
+    let (mut body, mut spec) = job(id, Kind::Service, replicas);
+    body["precedence"] = json!("production");
+    spec.priority = Priority::Production;
+    submit_body(&cell.site, cell.addresses.api[0], id, body, spec).await;
+}
+
 impl Cell {
-    async fn start(name: &str, file: &str) -> Cell {
+    async fn start(name: &str, file: Option<String>) -> Cell {
         let (site, addresses) = site::start(CONTROLLERS);
-        let mut programs = Programs::new(name, &addresses, Some(file));
+        let mut programs = Programs::new(name, &addresses, file.as_deref());
         programs.start_all();
         for address in &addresses.api {
             until(*address, Method::GET, "/up", None, |r| r.0 == 200).await;
@@ -289,3 +298,30 @@
     let gone = |cells: &TwoCells| cells.host.site.lock().expect("lock").held(&guest) == 0;
     cells.wait_until("its tasks are gone", gone).await;
 }
+
+/// How long the load is played, in seconds, and where the report goes.
+const REPORT_SECONDS: &str = "CELLS_REPORT_SECONDS";
+const REPORT_FILE: &str = "CELLS_REPORT";
+
+#[tokio::test]
+#[ignore = "takes minutes; docs/measurements.md has the command"]
+async fn a_report_on_minutes_of_load() {
+    let seconds = std::env::var(REPORT_SECONDS).ok();
+    let seconds = seconds.and_then(|text| text.parse().ok()).unwrap_or(180);
+    let time = std::time::Duration::from_secs(seconds);
+    let (spilling, without) = tokio::join!(TwoCells::start(), TwoCells::start_with(false));
+    let runs = tokio::join!(load::play(&spilling, time), load::play(&without, time));
+    let path = std::env::var(REPORT_FILE).unwrap_or_else(|_| "cells-report.html".to_owned());
+    report::write(path.as_ref(), &runs.0, &runs.1).expect("a report");
+    for run in [&runs.0, &runs.1] {
+        println!(
+            "{} jobs, {} done, {} tasks twice; job waits {}; service waits {}",
+            run.jobs,
+            run.done,
+            run.repeated,
+            report::summary(&run.job_waits),
+            report::summary(&run.service_waits)
+        );
+        assert_eq!((run.done, run.repeated), (run.jobs, 0));
+    }
+}
