--- /dev/null
+++ b/crates/saltpitch-cells/src/home/messages.rs
@@ -0,0 +1,81 @@
+//! What is written and sent about one delegation.
+
+use std::sync::Arc;
+
+use saltpitch_core::job::{JobSpec, JobState};
+use saltpitch_core::records::{Delegation, DelegationState, JobEntry, JobRecord, View};
+use saltpitch_core::Micros;
+
+use super::step::{Request, Transition};
+use crate::link::{LinkRequest, Submission};
+
+/// The record and the delegation of a job that another cell may own.
+pub(super) fn open_delegation<'a>(
+    view: &'a View,
+    job: &str,
+) -> Option<(&'a JobEntry, &'a Delegation)> {
+    let entry = view.jobs.get(job)?;
+    let delegation = entry.record.delegation.as_ref()?;
+    let open = entry.record.state == JobState::Active && delegation.is_open();
+    open.then_some((entry, delegation))
+}
+
+/// A job's record after a change of its delegation.
+pub(super) fn written_record(
+    record: &JobRecord,
+    transition: Transition,
+    wall: Micros,
+) -> JobRecord {
+    let state = match transition {
+        Transition::Complete => return JobRecord::over(JobState::Done, Some(wall)),
+        Transition::Offer => DelegationState::Offered,
+        Transition::Accept => DelegationState::Accepted,
+        Transition::Run => DelegationState::Running,
+        Transition::Return | Transition::Cancel => DelegationState::Returned,
+    };
+    let mut record = record.clone();
+    if transition == Transition::Cancel {
+        record.state = JobState::Cancelled;
+    }
+    if let Some(delegation) = &mut record.delegation {
+        delegation.state = state;
+    }
+    record
+}
+
+/// All that a job waited on is done; the host would not know it.
+fn without_dependencies(spec: Arc<JobSpec>) -> Arc<JobSpec> {
+    if spec.needs.is_empty() {
+        return spec;
+    }
+    let mut spec = JobSpec::clone(&spec);
+    spec.needs.clear();
+    Arc::new(spec)
+}
+
+/// What is sent for a request.
+pub(super) fn link_request(
+    id: String,
+    record: &JobRecord,
+    request: Request,
+    wall: Micros,
+) -> Option<LinkRequest> {
+    Some(match request {
+        Request::Status => LinkRequest::Status { id },
+        Request::Abort | Request::Recall => LinkRequest::Abort {
+            id,
+            unless_begun: request == Request::Recall,
+        },
+        Request::Submit | Request::Close => {
+            let spec = record.spec.clone()?;
+            let age = wall.since(record.submitted);
+            let left = spec.deadline.map(|deadline| deadline.since(age));
+            LinkRequest::Submit(Submission {
+                id,
+                deadline: left.filter(|left| *left > Micros::ZERO),
+                spec: without_dependencies(spec),
+                closing: request == Request::Close,
+            })
+        }
+    })
+}
--- a/crates/saltpitch-cells/src/home/mod.rs
+++ b/crates/saltpitch-cells/src/home/mod.rs
@@ -3,28 +3,29 @@
 //! A [`Delegator`] lives as long as one leadership. Everything that safety rests on is in the jobs' records and
 //! in what this leadership itself has sent; a later one starts with the records alone.
 
+mod messages;
 mod offers;
 pub mod step;
 pub mod writes;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use saltpitch_core::controller::LendingAccess;
-use saltpitch_core::job::{JobSpec, JobState};
 use saltpitch_core::leader::{Leader, Outcome};
-use saltpitch_core::records::{Delegation, DelegationState, JobEntry, JobRecord, View, TERM_KEY};
+use saltpitch_core::records::{Delegation, DelegationState, JobEntry, View, TERM_KEY};
 use saltpitch_core::Micros;
 
 use crate::ids;
-use crate::link::{HostStatus, LinkAnswer, LinkRequest, Refusal, Submission};
+use crate::link::{HostStatus, LinkAnswer, LinkRequest, Refusal};
 use crate::neighbour::Link;
 use crate::notice::Notice;
 use crate::settings::{CellsSettings, LendSettings};
 
+use messages::{link_request, open_delegation, written_record};
+
 pub use step::{CancelTimes, Knowledge, Request, Step, Submissions, Transition};
 pub use writes::{RecordWrite, Settled, Writes};
 
@@ -499,67 +500,3 @@
         self.notices.push_back(notice);
     }
 }
-
-/// The record and the delegation of a job that another cell may own.
-fn open_delegation<'a>(view: &'a View, job: &str) -> Option<(&'a JobEntry, &'a Delegation)> {
-    let entry = view.jobs.get(job)?;
-    let delegation = entry.record.delegation.as_ref()?;
-    let open = entry.record.state == JobState::Active && delegation.is_open();
-    open.then_some((entry, delegation))
-}
-
-/// A job's record after a change of its delegation.
-fn written_record(record: &JobRecord, transition: Transition, wall: Micros) -> JobRecord {
-    let state = match transition {
-        Transition::Complete => return JobRecord::over(JobState::Done, Some(wall)),
-        Transition::Offer => DelegationState::Offered,
-        Transition::Accept => DelegationState::Accepted,
-        Transition::Run => DelegationState::Running,
-        Transition::Return | Transition::Cancel => DelegationState::Returned,
-    };
-    let mut record = record.clone();
-    if transition == Transition::Cancel {
-        record.state = JobState::Cancelled;
-    }
-    if let Some(delegation) = &mut record.delegation {
-        delegation.state = state;
-    }
-    record
-}
-
-/// All that a job waited on is done; the host would not know it.
-fn without_dependencies(spec: Arc<JobSpec>) -> Arc<JobSpec> {
-    if spec.needs.is_empty() {
-        return spec;
-    }
-    let mut spec = JobSpec::clone(&spec);
-    spec.needs.clear();
-    Arc::new(spec)
-}
-
-/// What is sent for a request.
-fn link_request(
-    id: String,
-    record: &JobRecord,
-    request: Request,
-    wall: Micros,
-) -> Option<LinkRequest> {
-    Some(match request {
-        Request::Status => LinkRequest::Status { id },
-        Request::Abort | Request::Recall => LinkRequest::Abort {
-            id,
-            unless_begun: request == Request::Recall,
-        },
-        Request::Submit | Request::Close => {
-            let spec = record.spec.clone()?;
-            let age = wall.since(record.submitted);
-            let left = spec.deadline.map(|deadline| deadline.since(age));
-            LinkRequest::Submit(Submission {
-                id,
-                deadline: left.filter(|left| *left > Micros::ZERO),
-                spec: without_dependencies(spec),
-                closing: request == Request::Close,
-            })
-        }
-    })
-}
--- a/crates/saltpitch-cells/src/home/offers.rs
+++ b/crates/saltpitch-cells/src/home/offers.rs
@@ -8,7 +8,8 @@
 use saltpitch_core::records::{Delegation, DelegationState, JobRecord, View, TERM_KEY};
 use saltpitch_core::Micros;
 
-use super::{open_delegation, CellEffect, Delegator, Tracked, Transition};
+use super::messages::open_delegation;
+use super::{CellEffect, Delegator, Tracked, Transition};
 use crate::ids;
 use crate::link::{HostStatus, LinkRequest};
 use crate::notice::Notice;
--- /dev/null
+++ b/crates/saltpitch-testkit/src/cells/host.rs
@@ -0,0 +1,107 @@
+//! The host's side of a simulated cell: it serves a neighbour as the program's listener does.
+
+use saltpitch_cells::host::{Admission, HostSite};
+use saltpitch_cells::link::{HostStatus, LinkAnswer, LinkRequest, Refusal, Submission};
+use saltpitch_core::leader::Write;
+use saltpitch_core::records::job_key;
+use saltpitch_core::Micros;
+
+use super::Cell;
+use crate::world::World;
+
+impl Cell {
+    /// Whether this controller runs and reaches its store.
+    pub(super) fn serves(&self, node: usize) -> bool {
+        let World {
+            nodes, store, now, ..
+        } = &self.world;
+        let node = &nodes[node];
+        let runs = node.is_up(*now) && node.started && node.frozen(*now) == Micros::ZERO;
+        runs && node.controller.is_synced() && node.reaches_store(store, *now)
+    }
+
+    /// Serves a neighbour's request as the program does; `None`: the connection is refused.
+    pub(super) fn serve(&mut self, node: usize, request: &LinkRequest) -> Option<LinkAnswer> {
+        let up = self.world.nodes[node].is_up(self.world.now) && self.world.nodes[node].started;
+        if !up || !self.listens {
+            return None;
+        }
+        if !self.serves(node) {
+            return Some(refused(503, "no store", None));
+        }
+        let now = self.world.now;
+        let World { nodes, store, .. } = &mut self.world;
+        nodes[node].follow(store, now);
+        let view = nodes[node].view();
+        Some(match request {
+            LinkRequest::Up if self.door.has_room(view) => LinkAnswer::Ready,
+            LinkRequest::Up => refused(503, "no room", Some(Micros::from_secs(2))),
+            LinkRequest::Status { id } => status(self.door.status(view, id)),
+            LinkRequest::Submit(submission) => self.submit(node, submission),
+            LinkRequest::Abort { id, unless_begun } => self.abort(node, id, *unless_begun),
+        })
+    }
+
+    fn submit(&mut self, node: usize, submission: &Submission) -> LinkAnswer {
+        let world = &mut self.world;
+        let Some(catalog) = world.nodes[node].controller.catalog().cloned() else {
+            return refused(503, "no machine types", None);
+        };
+        let site = HostSite {
+            catalog: &catalog,
+            teams: &world.teams,
+        };
+        let (view, now) = (world.nodes[node].view(), world.now);
+        let admission = self.door.admit(view, submission, &site, now);
+        let record = match admission {
+            Ok(Admission::Known(known)) => return LinkAnswer::Status(known),
+            Err(error) => {
+                return refused(error.status(), &error.to_string(), error.retry_after());
+            }
+            Ok(Admission::Create(record)) => record,
+        };
+        let id = self.door.guest_id(&submission.id);
+        if record.spec.is_some() {
+            world.submit_record(&id, record);
+        } else {
+            let key = job_key(&id);
+            let value = serde_json::to_string(&record).ok();
+            let write = Write {
+                key: key.clone(),
+                value,
+            };
+            world.store.txn(&[(key, 0)], &[write], None);
+        }
+        let World { nodes, store, .. } = world;
+        nodes[node].follow(store, now);
+        match submission.closing {
+            true => LinkAnswer::Closed,
+            false => status(self.door.status(nodes[node].view(), &submission.id)),
+        }
+    }
+
+    fn abort(&mut self, node: usize, sent: &str, unless_begun: bool) -> LinkAnswer {
+        let id = self.door.guest_id(sent);
+        let view = self.world.nodes[node].view();
+        if self.door.cancels(view, sent, unless_begun) {
+            self.world.cancel_by(node, &id);
+        }
+        let World {
+            nodes, store, now, ..
+        } = &mut self.world;
+        nodes[node].follow(store, *now);
+        status(self.door.status(nodes[node].view(), sent))
+    }
+}
+
+fn status(known: Option<HostStatus>) -> LinkAnswer {
+    known.map_or(LinkAnswer::NotFound, LinkAnswer::Status)
+}
+
+fn refused(status: u16, reason: &str, retry_after: Option<Micros>) -> LinkAnswer {
+    LinkAnswer::Refused(Refusal {
+        status,
+        retry_after,
+        reason: reason.to_owned(),
+    })
+}
--- a/crates/saltpitch-testkit/tests/cells.rs
+++ b/crates/saltpitch-testkit/tests/cells.rs
@@ -268,6 +268,45 @@
     assert_eq!(guests(&cells), 3);
 }
 
+/// Found by a report on two cells under load: own work that had just begun counted as less of a loss than a
+/// guest that had run for long.
+#[test]
+fn a_guest_makes_way_before_any_own_work() {
+    let mut cells = full_home(16);
+    for i in 0..3 {
+        submit(&mut cells, &format!("job-01{i}0"), 1, 300);
+    }
+    let guests = |cells: &Cells| {
+        let world = &cells.cells[HOST].world;
+        let ids = world.jobs.keys().filter(|id| id.starts_with(NAMES[HOME]));
+        ids.map(|id| world.running(id)).sum::<usize>()
+    };
+    until(&mut cells, 90, |cells| guests(cells) == 3);
+    cells.cells[HOST].world.machine_limit = 0;
+    let now = cells.now.since(seconds(60));
+    cells.run(now.plus(seconds(60))).expect("no rule broken");
+    let own = batch(&mut cells, 1, 300);
+    assert!(cells.cells[HOST].world.submit("job-0400", own));
+    until(&mut cells, 20, |c| {
+        c.cells[HOST].world.running("job-0400") == 1
+    });
+    let mut service = JobSpec {
+        class: "web".to_owned(),
+        kind: Kind::Service,
+        priority: Priority::Production,
+        spot: false,
+        image_mb: 0,
+        ..batch(&mut cells, 1, 0)
+    };
+    service.need.cpu = 3_000;
+    assert!(cells.cells[HOST].world.submit("job-0500", service));
+    until(&mut cells, 10, |c| {
+        c.cells[HOST].world.running("job-0500") == 1
+    });
+    assert_eq!(cells.cells[HOST].world.running("job-0400"), 1);
+    assert_eq!(guests(&cells), 2);
+}
+
 #[test]
 fn nothing_is_lent_while_one_controller_does_not_know_delegations() {
     let mut cells = Cells::new(10, Faults::default(), Micros::ZERO);
--- a/crates/saltpitch/src/wire/users/tests.rs
+++ b/crates/saltpitch/src/wire/users/tests.rs
@@ -161,3 +161,29 @@
     body["waits_on"] = json!(many(MAX_NEEDS));
     assert!(body.to_string().len() < crate::wire::MAX_BODY);
 }
+
+/// What is sent to another cell is read there as the job that it is.
+#[test]
+fn a_submission_to_another_cell_is_read_as_the_same_job() {
+    let mut body = good();
+    for rig in ["sweep", "ensemble", "service"] {
+        for precedence in ["production", "urgent", "normal", "best_effort"] {
+            body["rig"] = json!(rig);
+            body["precedence"] = json!(precedence);
+            let spec = submission(&body).expect("valid");
+            let sent = Submission {
+                id: "job-000412000001".to_owned(),
+                deadline: spec.deadline,
+                spec: std::sync::Arc::new(spec.clone()),
+                closing: rig == "sweep",
+            };
+            let encoded = submission_body(&sent);
+            assert_eq!(id_of(&encoded), Ok("job-000412000001"));
+            assert_eq!(submission(&encoded), Ok(spec));
+            assert_eq!(is_closing(&encoded), sent.closing);
+        }
+    }
+    let abort = |wanted: bool| unless_begun(abort_body(wanted).to_string().as_bytes());
+    assert!(abort(true) && !abort(false));
+    assert!(!unless_begun(b"") && !unless_begun(b"[1]"));
+}
--- a/crates/saltpitch/tests/check.rs
+++ b/crates/saltpitch/tests/check.rs
@@ -160,3 +160,56 @@
         Err(_) => parent[field] = value,
     }
 }
+
+/// The program's verdict on the example with a file on cells.
+fn check_cells(name: &str, cells: &str) -> (bool, String) {
+    let folder = std::env::temp_dir().join(format!("saltpitch-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let mut settings: Value = serde_json::from_str(EXAMPLE).expect("JSON");
+    let guests =
+        json!({"name": "guests", "cpus": 0.0, "cpus_max": 16.0, "gpus": 0.0, "gpus_max": 0.0});
+    let teams = settings["cluster"]["teams"].as_array_mut();
+    teams.expect("a list").push(guests);
+    std::fs::write(folder.join("settings.json"), settings.to_string()).expect("a file");
+    std::fs::write(folder.join("cells.toml"), cells).expect("a file");
+    let end = Command::new(env!("CARGO_BIN_EXE_saltpitch"))
+        .args(["check", "--config"])
+        .arg(folder.join("settings.json"))
+        .arg("--cells")
+        .arg(folder.join("cells.toml"))
+        .output()
+        .expect("the program runs");
+    let _ = std::fs::remove_dir_all(&folder);
+    let said = [end.stdout, end.stderr].concat();
+    let said = String::from_utf8_lossy(&said).into_owned();
+    (end.status.success(), said)
+}
+
+#[test]
+fn the_example_on_cells_is_valid_and_a_mistake_in_it_is_named() {
+    let example = include_str!("../../../deploy/cells.toml");
+    let (ok, said) = check_cells("cells", example);
+    assert!(
+        ok && said.contains("cell north: neighbours south"),
+        "{said}"
+    );
+    let mistakes = [
+        (
+            "max_jobs = 20",
+            "max_jobs = 0",
+            "neighbour[0].lend.max_jobs",
+        ),
+        (
+            "team = \"guests\"",
+            "team = \"harbour\"",
+            "neighbour[0].guests.team",
+        ),
+        ("127.0.0.1:8180", "127.0.0.1:8081", "peer_bind"),
+        ("cell = \"north\"", "cell = 7", "line 7"),
+    ];
+    for (right, wrong, named) in mistakes {
+        assert!(example.contains(right), "{right}");
+        let (ok, said) = check_cells("cells-bad", &example.replacen(right, wrong, 1));
+        assert!(!ok && said.contains(named), "{wrong}: {said}");
+    }
+}
