--- a/crates/saltpitch-cells/src/home/messages.rs
+++ b/crates/saltpitch-cells/src/home/messages.rs
@@ -54,7 +54,7 @@
 }
 
 /// What is sent for a request.
-pub(super) fn link_request(
+pub fn link_request(
     id: String,
     record: &JobRecord,
     request: Request,
--- a/crates/saltpitch-cells/src/home/mod.rs
+++ b/crates/saltpitch-cells/src/home/mod.rs
@@ -24,7 +24,9 @@
 use crate::notice::Notice;
 use crate::settings::{CellsSettings, LendSettings};
 
-use messages::{link_request, open_delegation, written_record};
+use messages::{open_delegation, written_record};
+
+pub use messages::link_request;
 
 pub use step::{CancelTimes, Knowledge, Request, Step, Submissions, Transition};
 pub use writes::{RecordWrite, Settled, Writes};
--- a/crates/saltpitch-cells/src/home/offers.rs
+++ b/crates/saltpitch-cells/src/home/offers.rs
@@ -138,7 +138,7 @@
         tracked.known.submissions.offered_here = true;
         self.tracked.insert(job.to_owned(), tracked);
         let record = JobRecord {
-            delegation: Some(delegation),
+            delegation: Some(Box::new(delegation)),
             ..entry.record.clone()
         };
         let mut when = vec![(TERM_KEY.to_owned(), access.leader.term_rev())];
--- a/crates/saltpitch-cells/src/host.rs
+++ b/crates/saltpitch-cells/src/host.rs
@@ -197,10 +197,10 @@
 
     fn record(&self, submitted: Micros, spec: JobSpec) -> JobRecord {
         JobRecord {
-            guest: Some(Guest {
+            guest: Some(Box::new(Guest {
                 cell: self.cell.clone(),
                 may_rent: self.settings.may_rent,
-            }),
+            })),
             ..JobRecord::accepted(submitted, spec.into())
         }
     }
--- a/crates/saltpitch-cells/tests/doors.rs
+++ b/crates/saltpitch-cells/tests/doors.rs
@@ -9,7 +9,7 @@
 use saltpitch_core::catalog::{Catalog, MachineType, Resources};
 use saltpitch_core::job::{JobSpec, JobState, Kind, Priority};
 use saltpitch_core::quota::TeamLimits;
-use saltpitch_core::records::{job_key, JobRecord, View};
+use saltpitch_core::records::{job_key, log_key, Entry, JobRecord, LogRecord, View};
 use saltpitch_core::Micros;
 use serde_json::value::RawValue;
 
@@ -195,3 +195,25 @@
     assert!(door().cancels(&view, "job-2000001", true));
     assert!(!door().cancels(&view, "job-1000001", false));
 }
+
+#[test]
+fn a_recall_does_not_stop_what_has_begun() {
+    let mut view = View::default();
+    let record = created(&view, &submission("job-1000001", 2));
+    let id = door().guest_id("job-1000001");
+    put(&mut view, &id, &record);
+    assert!(door().cancels(&view, "job-1000001", true));
+    let placed = LogRecord {
+        no: 1,
+        entries: vec![(id, vec![Entry(0, 1, "vm-000001".to_owned(), 1, 0)])],
+    };
+    let text = serde_json::to_string(&placed).expect("JSON");
+    let raw = RawValue::from_string(text).expect("JSON");
+    view.put(&log_key(0), &raw, 9).expect("read");
+    assert_eq!(
+        door().status(&view, "job-1000001"),
+        Some(HostStatus::Running)
+    );
+    assert!(!door().cancels(&view, "job-1000001", true));
+    assert!(door().cancels(&view, "job-1000001", false));
+}
--- a/crates/saltpitch-cells/tests/steps.rs
+++ b/crates/saltpitch-cells/tests/steps.rs
@@ -1,9 +1,14 @@
 //! What is done next about a delegation, ids, and which guests are taken.
 
+use std::sync::Arc;
+
+use saltpitch_cells::home::link_request;
 use saltpitch_cells::home::step::{next_step, CancelTimes, Knowledge, Request, Step, Transition};
 use saltpitch_cells::ids::{guest_id, home_id, sent_id};
-use saltpitch_cells::link::HostStatus;
-use saltpitch_core::records::{Delegation, DelegationState};
+use saltpitch_cells::link::{HostStatus, LinkRequest};
+use saltpitch_core::catalog::Resources;
+use saltpitch_core::job::{JobSpec, Kind, Priority};
+use saltpitch_core::records::{Delegation, DelegationState, JobRecord};
 use saltpitch_core::Micros;
 
 const NOW: Micros = Micros::from_secs(1_000);
@@ -166,3 +171,52 @@
     assert_eq!(sent_id(&format!("job-{}", "1".repeat(35)), 1), None);
     assert_eq!(home_id("job-000001"), None);
 }
+
+fn record() -> JobRecord {
+    let spec = JobSpec {
+        class: "night".to_owned(),
+        team: "red".to_owned(),
+        kind: Kind::Array,
+        priority: Priority::Normal,
+        tasks: 2,
+        need: Resources::default(),
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        image: "img".to_owned(),
+        image_mb: 1,
+        estimate: Micros::from_secs(30),
+        checkpoint: Micros::ZERO,
+        save: Micros::ZERO,
+        deadline: Some(Micros::from_secs(100)),
+        needs: vec!["job-7".to_owned()],
+    };
+    JobRecord::accepted(NOW, Arc::new(spec))
+}
+
+#[test]
+fn only_a_recall_spares_what_has_begun_and_only_a_closing_submission_closes() {
+    let sent = |request: Request, wall: Micros| {
+        link_request("job-1000001".to_owned(), &record(), request, wall).expect("described")
+    };
+    for (request, expected) in [(Request::Recall, true), (Request::Abort, false)] {
+        let LinkRequest::Abort { unless_begun, .. } = sent(request, NOW) else {
+            panic!("{request:?} is an abort");
+        };
+        assert_eq!(unless_begun, expected);
+    }
+    for (request, expected) in [(Request::Close, true), (Request::Submit, false)] {
+        // What is left of the deadline is passed on, and what the job waited on is done.
+        for (waited, left) in [(30, Some(Micros::from_secs(70))), (100, None)] {
+            let LinkRequest::Submit(submission) =
+                sent(request, NOW.plus(Micros::from_secs(waited)))
+            else {
+                panic!("{request:?} is a submission");
+            };
+            assert_eq!((submission.closing, submission.deadline), (expected, left));
+            assert!(submission.spec.needs.is_empty());
+        }
+    }
+}
--- a/crates/saltpitch-core/src/leader/job_state.rs
+++ b/crates/saltpitch-core/src/leader/job_state.rs
@@ -64,7 +64,7 @@
     /// When it last came back from another cell.
     pub came_back_at: Micros,
     /// The cell that it is run for, if that is another one.
-    pub guest: Option<Guest>,
+    pub guest: Option<Box<Guest>>,
     /// On this node's steady clock.
     pub submitted: Micros,
     /// When its waits began: submitted, or released by the last job that it needs.
--- a/crates/saltpitch-core/src/records/delegation.rs
+++ b/crates/saltpitch-core/src/records/delegation.rs
@@ -62,13 +62,13 @@
 /// answered as before, and nothing of it is placed.
 pub(super) fn read_delegation<'de, D: Deserializer<'de>>(
     input: D,
-) -> Result<Option<Delegation>, D::Error> {
+) -> Result<Option<Box<Delegation>>, D::Error> {
     let value = Option::<serde_json::Value>::deserialize(input)?;
     Ok(value.map(|value| {
         let read = serde_json::from_value::<Delegation>(value);
         let plausible = |delegation: &Delegation| !delegation.cell.is_empty();
         let usable = read.ok().filter(plausible);
-        usable.unwrap_or_else(Delegation::damaged)
+        Box::new(usable.unwrap_or_else(Delegation::damaged))
     }))
 }
 
@@ -97,7 +97,9 @@
 impl JobRecord {
     /// Whether another cell may own the job.
     pub fn is_delegated(&self) -> bool {
-        self.delegation.as_ref().is_some_and(Delegation::is_open)
+        self.delegation
+            .as_ref()
+            .is_some_and(|delegation| delegation.is_open())
     }
 
     /// How a user's cancellation of this job goes on. A job that another cell may own is cancelled only
--- a/crates/saltpitch-core/src/records/stored.rs
+++ b/crates/saltpitch-core/src/records/stored.rs
@@ -68,17 +68,18 @@
     /// Left out otherwise; earlier versions don't know the field.
     #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
     pub finished: Option<Micros>,
-    /// The job's hand-over to another cell, the last one if there were several.
+    /// The job's hand-over to another cell, the last one if there were several. Boxed like the guest: records
+    /// of jobs that are over stay in memory for ever, and few jobs have either.
     #[serde(
         rename = "x",
         default,
         skip_serializing_if = "Option::is_none",
         deserialize_with = "read_delegation"
     )]
-    pub delegation: Option<Delegation>,
+    pub delegation: Option<Box<Delegation>>,
     /// Says for which cell the job is run; `None` for this cell's own jobs.
     #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
-    pub guest: Option<Guest>,
+    pub guest: Option<Box<Guest>>,
 }
 
 impl JobRecord {
--- a/crates/saltpitch-core/tests/delegation_records.rs
+++ b/crates/saltpitch-core/tests/delegation_records.rs
@@ -36,12 +36,12 @@
 
 fn delegated(state: DelegationState) -> JobRecord {
     JobRecord {
-        delegation: Some(Delegation {
+        delegation: Some(Box::new(Delegation {
             cell: "south".to_owned(),
             number: 2,
             state,
             cancel_requested: false,
-        }),
+        })),
         ..accepted()
     }
 }
@@ -61,10 +61,10 @@
     let top: serde_json::Value = serde_json::from_str(&plain).expect("JSON");
     assert!(top.get("x").is_none() && top.get("g").is_none(), "{plain}");
     let guest = JobRecord {
-        guest: Some(Guest {
+        guest: Some(Box::new(Guest {
             cell: "south".to_owned(),
             may_rent: true,
-        }),
+        })),
         ..accepted()
     };
     let text = serde_json::to_string(&guest).expect("JSON");
--- a/crates/saltpitch-core/tests/lending.rs
+++ b/crates/saltpitch-core/tests/lending.rs
@@ -26,12 +26,12 @@
 
 fn delegated(site: &Site, id: &str, state: DelegationState) -> JobRecord {
     JobRecord {
-        delegation: Some(Delegation {
+        delegation: Some(Box::new(Delegation {
             cell: "south".to_owned(),
             number: 1,
             state,
             cancel_requested: false,
-        }),
+        })),
         ..site.harness.view.jobs[id].record.clone()
     }
 }
@@ -120,10 +120,10 @@
 
 fn guest(site: &mut Site, id: &str, may_rent: bool) {
     let record = JobRecord {
-        guest: Some(Guest {
+        guest: Some(Box::new(Guest {
             cell: "south".to_owned(),
             may_rent,
-        }),
+        })),
         ..JobRecord::accepted(site.harness.now, Arc::new(spec(Kind::Array, 1, 4)))
     };
     write(site, id, &record);
--- a/crates/saltpitch-testkit/tests/cells.rs
+++ b/crates/saltpitch-testkit/tests/cells.rs
@@ -32,6 +32,7 @@
         one_zone: false,
         spread: false,
         spot: true,
+        image: "img-0".to_owned(),
         estimate: seconds(run),
         checkpoint: Micros::ZERO,
         save: Micros::ZERO,
@@ -96,6 +97,13 @@
     assert!(cells.cells[HOME].world.submit(id, spec));
 }
 
+/// The tasks of home's jobs that run at the host.
+fn guest_tasks(cells: &Cells) -> usize {
+    let world = &cells.cells[HOST].world;
+    let ids = world.jobs.keys().filter(|id| id.starts_with(NAMES[HOME]));
+    ids.map(|id| world.running(id)).sum()
+}
+
 fn set_links(cells: &mut Cells, state: LinkState) {
     for cell in [HOME, HOST] {
         cells.set_link(cell, state);
@@ -243,12 +251,7 @@
     for i in 0..4 {
         submit(&mut cells, &format!("job-01{i}0"), 1, 300);
     }
-    let guests = |cells: &Cells| {
-        let world = &cells.cells[HOST].world;
-        let ids = world.jobs.keys().filter(|id| id.starts_with(NAMES[HOME]));
-        ids.map(|id| world.running(id)).sum::<usize>()
-    };
-    until(&mut cells, 90, |cells| guests(cells) == 4);
+    until(&mut cells, 90, |cells| guest_tasks(cells) == 4);
     cells.cells[HOST].world.machine_limit = 0;
     set_links(&mut cells, LinkState::Refuses);
     let mut service = JobSpec {
@@ -265,7 +268,7 @@
     until(&mut cells, 5, |c| {
         c.cells[HOST].world.running("job-0500") == 1
     });
-    assert_eq!(guests(&cells), 3);
+    assert_eq!(guest_tasks(&cells), 3);
 }
 
 /// Found by a report on two cells under load: own work that had just begun counted as less of a loss than a
@@ -276,12 +279,7 @@
     for i in 0..3 {
         submit(&mut cells, &format!("job-01{i}0"), 1, 300);
     }
-    let guests = |cells: &Cells| {
-        let world = &cells.cells[HOST].world;
-        let ids = world.jobs.keys().filter(|id| id.starts_with(NAMES[HOME]));
-        ids.map(|id| world.running(id)).sum::<usize>()
-    };
-    until(&mut cells, 90, |cells| guests(cells) == 3);
+    until(&mut cells, 90, |cells| guest_tasks(cells) == 3);
     cells.cells[HOST].world.machine_limit = 0;
     let now = cells.now.since(seconds(60));
     cells.run(now.plus(seconds(60))).expect("no rule broken");
@@ -304,7 +302,7 @@
         c.cells[HOST].world.running("job-0500") == 1
     });
     assert_eq!(cells.cells[HOST].world.running("job-0400"), 1);
-    assert_eq!(guests(&cells), 2);
+    assert_eq!(guest_tasks(&cells), 2);
 }
 
 #[test]
