--- a/crates/saltpitch-core/tests/lending.rs
+++ b/crates/saltpitch-core/tests/lending.rs
@@ -139,6 +139,7 @@
         0,
         "nothing else is there"
     );
+    assert!(candidates(&site).is_empty(), "lent work is never lent on");
     // Room for one of the two beside a task of this cell's own.
     let mut own = spec(Kind::Array, 1, 2);
     own.priority = Priority::Low;
