--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -1,6 +1,7 @@
 """Starts and ends the controllers of one small deployment, and keeps the record of a case."""
 
 import asyncio
+import ctypes
 import json
 import os
 import pathlib
@@ -13,6 +14,15 @@
 
 from net import Caller, free_ports
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Has the system end a controller when the script that started it is gone."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 
 
@@ -62,7 +72,8 @@
         env = dict(os.environ, LOG_LEVEL=os.environ.get("REVIEW_LOG", "info"))
         command = [*self.command, str(self.settings_file(name))]
         self.children[name] = subprocess.Popen(
-            command, cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL, env=env)
+            command, cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL, env=env,
+            preexec_fn=end_with_parent)
         self.record.line(f"controller {name} is started, process {self.children[name].pid}")
 
     def kill(self, name):
