--- a/review/common/net.py
+++ b/review/common/net.py
@@ -63,7 +63,8 @@
             self.serve, "127.0.0.1", self.port, limit=1 << 20, backlog=512)
 
     def stop(self):
-        self.server.close()
+        if self.server:
+            self.server.close()
         self.reset()
 
     def reset(self):
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -206,7 +206,7 @@
             if not key.startswith(prefix):
                 break
             value, revision, _ = self.keys[key]
-            row = f'{{"path":{json.dumps(key)},"v":{value},"entry_no":{revision}}}'
+            row = f'{{"path":"{key}","v":{value},"entry_no":{revision}}}'
             if len(rows) >= count or size + len(row) > MAX_PAGE_BYTES:
                 has_next = True
                 break
