--- a/review/1/run.py
+++ b/review/1/run.py
@@ -17,6 +17,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SEED = int(os.environ.get("SEED", str(time.time_ns() % 1_000_000)))
 
+BROKEN = 10                  # what run.sh turns into 1; Python itself exits with 1 when a script fails
+
 # Settings of the canal hire hosting, BRIEF-saltpitch.md, with one of its teams.
 CLUSTER = {
     "size": 3, "zones": ["busan-south", "incheon-west"],
@@ -179,7 +181,7 @@
     print(summary)
     if len(users.last_answer) < FIRST_JOBS:
         return 2
-    return 1 if forgotten else 0
+    return BROKEN if forgotten else 0
 
 
 async def run():
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 timeout --kill-after=5 118 python3 review/1/run.py
 code=$?
-case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
+case $code in 0) exit 0 ;; 10) exit 1 ;; *) exit 2 ;; esac
--- a/review/build.sh
+++ b/review/build.sh
@@ -8,5 +8,4 @@
 for path in sorted(pathlib.Path(".").rglob("*.py")):
     compile(path.read_text(), str(path), "exec")
 END
-test -x ../target/release/saltpitch
 echo "the stand-ins are ready"
