Log why a listing of the records stopped and how far it had come

Hypotheses that the old log could not tell apart: (1) pages are refused because of the request rate, (2) pages time out or cannot be decoded, (3) the listing ends but its revision is older than the history of changes, (4) it ends but the layout is refused, (5) it ends and only the catalogue or the announcement is missing.

Change: one line for each listing that stops, with the pages, records, time and reason, and one for each that ends. The reason is a typed error.

--- a/crates/saltpitch/src/store.rs
+++ b/crates/saltpitch/src/store.rs
@@ -21,6 +21,7 @@
 use crate::settings::StoreLimits;
 use crate::wire::store as wire;
 pub use crate::wire::store::{Changes, LeaseAttachment};
+use crate::wire::DecodeError;
 
 /// The number of records requested per page of a listing.
 const PAGE_SIZE: usize = 1_000;
@@ -51,6 +52,20 @@
     Unknown,
 }
 
+/// Why a page of a listing could not be read.
+#[derive(Debug, thiserror::Error)]
+enum PageError {
+    /// The request was not sent, or there was no response in time.
+    #[error("no response ({0:?})")]
+    NoResponse(CallError),
+    /// The service responded with an error, for example 429 above its rate limit.
+    #[error("status {0}")]
+    Status(u16),
+    /// The response is not a page of records.
+    #[error("unreadable page: {0}")]
+    Unreadable(DecodeError),
+}
+
 /// Returns a transaction that writes one record if the record still has the given revision. Revision 0
 /// requires that the record does not exist yet.
 pub fn conditional_write(key: &str, value: &str, revision: u64) -> Transaction {
@@ -156,8 +171,19 @@
     ) -> Option<u64> {
         let mut first_revision = None;
         let mut last_key = String::new();
+        let started_at = self.clock.now();
+        let (mut pages, mut records) = (0, 0);
         loop {
-            let page = self.list_page(&last_key).await?;
+            let page = match self.list_page(&last_key).await {
+                Ok(page) => page,
+                Err(error) => {
+                    let elapsed = self.clock.now().since(started_at).as_secs_f64();
+                    tracing::info!("store: listing of the records stopped after {pages} pages, {records} records and {elapsed:.1} s: {error}");
+                    return None;
+                }
+            };
+            pages += 1;
+            records += page.records.len();
             let revision = *first_revision.get_or_insert(page.revision);
             if let Some(last) = page.records.last() {
                 last_key.clone_from(&last.key);
@@ -165,13 +191,15 @@
             let is_last = !page.has_next || page.records.is_empty();
             handle_page(page.records);
             if is_last {
+                let elapsed = self.clock.now().since(started_at).as_secs_f64();
+                tracing::info!("store: {records} records listed, {pages} pages in {elapsed:.1} s");
                 return Some(revision);
             }
         }
     }
 
     /// Reads the page of records that follow the key `after`, or the first page if `after` is empty.
-    async fn list_page(&self, after: &str) -> Option<wire::Page> {
+    async fn list_page(&self, after: &str) -> Result<wire::Page, PageError> {
         let path = if after.is_empty() {
             format!("/store?starts={PREFIX}&page={PAGE_SIZE}")
         } else {
@@ -180,17 +208,11 @@
         let reply = self
             .call(Method::GET, &path, Vec::new(), LIST_TIMEOUT)
             .await
-            .ok()?;
+            .map_err(PageError::NoResponse)?;
         if reply.status != 200 {
-            return None;
+            return Err(PageError::Status(reply.status));
         }
-        wire::decode_page(&reply.body)
-            .map_err(|error| {
-                tracing::error!(
-                    "store: unreadable page of records, abandoning the listing: {error}"
-                )
-            })
-            .ok()
+        wire::decode_page(&reply.body).map_err(PageError::Unreadable)
     }
 
     /// Reads the changes after a revision, and waits up to `wait` for the first one. The caller must
