Continue a listing of the records where it was refused instead of at its first page

Cause: any answer but a readable 200 (429, 503, timeout, unreadable) ended the whole listing and dropped all its pages. The next one began at the first page after 0.4 s, on all controllers, so that the more records there are, the longer the run of pages that must meet no refusal.

Change: a Listing keeps its pages and its position. A request that fails is repeated after a pause with exponential backoff and jitter. Only the task that follows the records lists them: a question that found the history too old began a second listing beside the first. `saltpitch cells` reads in the same way; it gave up at the first refusal.

Why it works: each page that is answered is progress for good, so that a listing ends whatever the share of refusals.

--- a/crates/saltpitch/src/cells/command.rs
+++ b/crates/saltpitch/src/cells/command.rs
@@ -6,19 +6,29 @@
 use std::time::Duration;
 
 use clap::Subcommand;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use saltpitch_cells::ids::{sent_id, MAX_DELEGATION_NUMBER};
 use saltpitch_core::job::JobState;
-use saltpitch_core::records::{job_key, Delegation, DelegationState, JobRecord, RecordCache};
+use saltpitch_core::records::{
+    job_key, Delegation, DelegationState, JobRecord, RecordCache, RecordError,
+};
 use saltpitch_core::scheduler::{Precondition, Transaction, TransactionOutcome, Write};
 
+use crate::backoff::Backoff;
 use crate::clock::Clock;
 use crate::http::Client;
 use crate::settings::Settings;
-use crate::store::StoreClient;
+use crate::store::{Listing, ListingError, StoreClient};
 
 const TRANSACTION_TIMEOUT: Duration = Duration::from_secs(3);
 /// The most addresses to which the command keeps connections open.
 const MAX_CONNECTED_ADDRESSES: usize = 4;
+/// After this many consecutive failed attempts that read no further page, the command gives up.
+const MAX_FAILED_ATTEMPTS: u32 = 5;
+/// Mean pauses between two attempts: the first one, and the longest.
+const FIRST_READ_PAUSE: Duration = Duration::from_millis(200);
+const MAX_READ_PAUSE: Duration = Duration::from_secs(2);
 
 /// A command on delegated jobs.
 #[derive(Subcommand)]
@@ -98,8 +108,9 @@
 
 /// Runs the command with the settings file `config`.
 pub async fn run(config: &Path, command: &CellsCommand) -> Result<(), CommandError> {
-    let store = connect(config)?;
-    let records = read_records(&store).await?;
+    let clock = Clock::start();
+    let store = connect(config, clock)?;
+    let records = read_records(&store, clock).await?;
     match command {
         CellsCommand::List => {
             print_delegations(&records);
@@ -119,31 +130,47 @@
 }
 
 /// Returns a client of the state service that the settings name.
-fn connect(config: &Path) -> Result<StoreClient, CommandError> {
+fn connect(config: &Path, clock: Clock) -> Result<StoreClient, CommandError> {
     let settings =
         Settings::load(config, None, None).map_err(|error| CommandError::Settings(error.into()))?;
     Ok(StoreClient::new(
         Arc::new(Client::new(MAX_CONNECTED_ADDRESSES)),
         settings.store_addr,
-        Clock::start(),
+        clock,
         settings.store,
         settings.controller_count,
     ))
 }
 
 /// Reads all records. Prints the keys of unreadable records to standard error.
-async fn read_records(store: &StoreClient) -> Result<RecordCache, CommandError> {
-    let mut records = RecordCache::default();
-    let listed = store.list_records(|rows| {
-        for row in rows {
-            let Some(value) = &row.value else { continue };
-            if let Err(error) = records.put(&row.key, value, row.revision) {
-                eprintln!("record {} is unreadable: {error}", row.key);
-            }
+async fn read_records(store: &StoreClient, clock: Clock) -> Result<RecordCache, CommandError> {
+    let new_listing = || Listing::new(clock, print_unreadable);
+    let mut listing = new_listing();
+    let mut backoff = Backoff::new(FIRST_READ_PAUSE, MAX_READ_PAUSE);
+    let mut rng = SmallRng::from_os_rng();
+    let mut failed_attempts = 0;
+    loop {
+        let pages_before = listing.page_count();
+        let Err(error) = listing.read_to_end(store).await else {
+            return Ok(listing.into_records());
+        };
+        if listing.page_count() > pages_before {
+            failed_attempts = 0;
+            backoff.reset();
+        }
+        failed_attempts += 1;
+        if failed_attempts == MAX_FAILED_ATTEMPTS {
+            return Err(CommandError::Unreachable);
+        }
+        if let ListingError::Outdated(_) = error {
+            listing = new_listing();
         }
-    });
-    listed.await.ok_or(CommandError::Unreachable)?;
-    Ok(records)
+        tokio::time::sleep(backoff.next_pause(rng.random())).await;
+    }
+}
+
+fn print_unreadable(key: &str, error: &RecordError) {
+    eprintln!("record {key} is unreadable: {error}");
 }
 
 fn print_delegations(records: &RecordCache) {
--- a/crates/saltpitch/src/main.rs
+++ b/crates/saltpitch/src/main.rs
@@ -2,6 +2,7 @@
 
 mod agents;
 mod api;
+mod backoff;
 mod cells;
 mod cli;
 mod clock;
--- a/crates/saltpitch/src/record_sync.rs
+++ b/crates/saltpitch/src/record_sync.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use saltpitch_core::records::{node_key, RecordCache, RecordChange};
+use saltpitch_core::records::{node_key, RecordChange, RecordError};
 use saltpitch_core::scheduler::{Precondition, Transaction, TransactionOutcome};
 use serde_json::value::RawValue;
 
+use crate::backoff::Backoff;
 use crate::node::Node;
-use crate::store::WatchOutcome;
+use crate::store::{Listing, ListingError, ReadError};
 
 /// How long the state service may hold a watch open until there is a change.
 const WATCH_WAIT: Duration = Duration::from_secs(8);
@@ -24,6 +25,9 @@
 const FAILED_READ_PAUSE_MS: u64 = 400;
 const FAILED_ANNOUNCEMENT_PAUSE_MS: u64 = 300;
 const POST_LISTING_PAUSE_MS: u64 = 200;
+/// Mean pauses before a listing that was interrupted continues: the first one, and the longest.
+const FIRST_LISTING_PAUSE: Duration = Duration::from_millis(200);
+const MAX_LISTING_PAUSE: Duration = Duration::from_secs(2);
 
 impl Node {
     /// Waits until the records in memory are at least as new as this call. Returns false if the state
@@ -53,49 +57,149 @@
 /// Announces this process and follows the changes of the records, with one watch at a time. Never
 /// returns.
 pub async fn follow_changes(node: Arc<Node>) {
-    let mut failed_watches = 0;
+    let mut follower = RecordFollower::new(node);
     loop {
-        if !node.controller().is_synced() && !list_records(&node).await {
-            node.pause(FAILED_READ_PAUSE_MS).await;
-            continue;
+        follower.step().await;
+    }
+}
+
+/// The task that keeps the records in memory up to date. It alone lists the records, so that a controller never has
+/// two listings under way.
+struct RecordFollower {
+    node: Arc<Node>,
+    /// The listing under way, if one was interrupted and is still needed.
+    listing: Option<Listing>,
+    listing_backoff: Backoff,
+    /// The number of consecutive failed watches.
+    failed_watches: u32,
+}
+
+impl RecordFollower {
+    fn new(node: Arc<Node>) -> RecordFollower {
+        RecordFollower {
+            node,
+            listing: None,
+            listing_backoff: Backoff::new(FIRST_LISTING_PAUSE, MAX_LISTING_PAUSE),
+            failed_watches: 0,
         }
-        if !node.controller().is_announced() {
-            announce(&node).await;
-            if !node.controller().is_announced() {
-                node.pause(FAILED_ANNOUNCEMENT_PAUSE_MS).await;
-                let _ = node.read_latest_records().await;
+    }
+
+    async fn step(&mut self) {
+        if !self.node.controller().is_synced() {
+            self.list_until_replaced().await;
+        }
+        if !self.node.controller().is_announced() {
+            announce(&self.node).await;
+            if !self.node.controller().is_announced() {
+                self.node.pause(FAILED_ANNOUNCEMENT_PAUSE_MS).await;
+                let _ = self.node.read_latest_records().await;
+            }
+        }
+        self.watch_once().await;
+    }
+
+    /// Runs one watch and applies its changes.
+    async fn watch_once(&mut self) {
+        let node = self.node.clone();
+        let from_revision = node.controller().records().revision;
+        match node.store.watch(from_revision, WATCH_WAIT).await {
+            Ok(changes) => {
+                self.failed_watches = 0;
+                // The records in memory are up to date again without the listing.
+                self.listing = None;
+                apply_changes(&node, from_revision, changes.changes, changes.revision);
+                // Each watch counts towards the service's request rate.
+                tokio::time::sleep(node.store.pace(WATCH_SHARE)).await;
+            }
+            Err(ReadError::RevisionTooOld) => {
+                self.list_until_replaced().await;
+                node.pause(POST_LISTING_PAUSE_MS).await;
+            }
+            Err(_) => {
+                node.pause(FAILED_READ_PAUSE_MS).await;
+                self.failed_watches += 1;
+                // After a long disconnection there may be too many changes for one response, whereas a
+                // listing is read in pages.
+                if self
+                    .failed_watches
+                    .is_multiple_of(FAILED_WATCHES_BEFORE_LISTING)
+                {
+                    self.continue_listing().await;
+                }
             }
         }
-        watch_once(&node, &mut failed_watches).await;
     }
-}
 
-/// Runs one watch and applies its changes. `failed_watches` counts consecutive failed watches.
-async fn watch_once(node: &Node, failed_watches: &mut u32) {
-    let from_revision = node.controller().records().revision;
-    match node.store.watch(from_revision, WATCH_WAIT).await {
-        WatchOutcome::Changes(changes) => {
-            *failed_watches = 0;
-            apply_changes(node, from_revision, changes.changes, changes.revision);
-            // Each watch counts towards the service's request rate.
-            tokio::time::sleep(node.store.pace(WATCH_SHARE)).await;
+    /// Lists the records until those in memory are replaced.
+    async fn list_until_replaced(&mut self) {
+        while !self.continue_listing().await {
+            let pause = self.listing_backoff.next_pause(self.node.random());
+            tokio::time::sleep(pause).await;
         }
-        WatchOutcome::RevisionTooOld => {
-            list_records(node).await;
-            node.pause(POST_LISTING_PAUSE_MS).await;
+    }
+
+    /// Begins a listing of all records, or continues the one under way, and replaces the records in memory at its
+    /// end. Returns false if a request failed, or if the records have the layout of an earlier version.
+    async fn continue_listing(&mut self) -> bool {
+        let clock = self.node.clock;
+        let mut listing = self
+            .listing
+            .take()
+            .unwrap_or_else(|| Listing::new(clock, log_unreadable));
+        let pages_before = listing.page_count();
+        let result = listing.read_to_end(&self.node.store).await;
+        let Err(error) = result else {
+            return self.replace_records(listing);
+        };
+        log_interruption(&listing, &error);
+        if listing.page_count() > pages_before {
+            self.listing_backoff.reset();
         }
-        WatchOutcome::Failed => {
-            node.pause(FAILED_READ_PAUSE_MS).await;
-            *failed_watches += 1;
-            // After a long disconnection there may be too many changes for one response, whereas a
-            // listing is read in pages.
-            if failed_watches.is_multiple_of(FAILED_WATCHES_BEFORE_LISTING) {
-                list_records(node).await;
-            }
+        if let ListingError::Interrupted(_) = error {
+            self.listing = Some(listing);
+        }
+        false
+    }
+
+    fn replace_records(&mut self, listing: Listing) -> bool {
+        let node = &self.node;
+        tracing::info!(
+            "store: {} records listed, {} pages in {:.1} s",
+            listing.record_count(),
+            listing.page_count(),
+            listing.elapsed().as_secs_f64()
+        );
+        let (now, wall) = (node.now(), node.clock.wall_time());
+        let replaced = node
+            .controller()
+            .replace_records(listing.into_records(), now, wall);
+        if let Err(error) = replaced {
+            tracing::error!("{error}");
+            return false;
         }
+        node.scheduler_wakeup.notify_one();
+        self.listing_backoff.reset();
+        true
     }
 }
 
+fn log_unreadable(key: &str, error: &RecordError) {
+    tracing::error!("record {key} is unreadable and was skipped: {error}");
+}
+
+fn log_interruption(listing: &Listing, error: &ListingError) {
+    let next_step = match error {
+        ListingError::Interrupted(_) => "it continues there",
+        ListingError::Outdated(_) => "a new one begins",
+    };
+    tracing::info!(
+        "store: listing of the records stopped after {} pages, {} records and {:.1} s, {next_step}: {error}",
+        listing.page_count(),
+        listing.record_count(),
+        listing.elapsed().as_secs_f64()
+    );
+}
+
 /// Applies the changes after `from_revision` up to `last_revision`, and wakes the scheduler's task if a
 /// job has changed and this node leads.
 fn apply_changes(node: &Node, from_revision: u64, changes: Vec<RecordChange>, last_revision: u64) {
@@ -107,35 +211,6 @@
     }
 }
 
-/// Lists all records and replaces those in memory. Returns false if they could not be listed or have the
-/// layout of an earlier version.
-async fn list_records(node: &Node) -> bool {
-    let mut records = RecordCache::default();
-    let put_page = |page: Vec<RecordChange>| {
-        for record in page {
-            let Some(value) = &record.value else { continue };
-            if let Err(error) = records.put(&record.key, value, record.revision) {
-                tracing::error!(
-                    "record {} is unreadable and was skipped: {error}",
-                    record.key
-                );
-            }
-        }
-    };
-    let Some(revision) = node.store.list_records(put_page).await else {
-        return false;
-    };
-    records.revision = revision;
-    let (now, wall) = (node.now(), node.clock.wall_time());
-    let replaced = node.controller().replace_records(records, now, wall);
-    if let Err(error) = replaced {
-        tracing::error!("{error}");
-        return false;
-    }
-    node.scheduler_wakeup.notify_one();
-    true
-}
-
 /// Writes this process's incarnation to the state service, once.
 async fn announce(node: &Node) {
     let Some(announcement) = node.controller().announcement() else {
@@ -177,12 +252,10 @@
     if !is_synced {
         return false;
     }
-    match node.store.watch(from_revision, Duration::ZERO).await {
-        WatchOutcome::Changes(changes) => {
-            apply_changes(node, from_revision, changes.changes, changes.revision);
-            true
-        }
-        WatchOutcome::RevisionTooOld => list_records(node).await,
-        WatchOutcome::Failed => false,
-    }
+    let Ok(changes) = node.store.watch(from_revision, Duration::ZERO).await else {
+        // If the revision is too old, the next watch finds it as well and lists the records.
+        return false;
+    };
+    apply_changes(node, from_revision, changes.changes, changes.revision);
+    true
 }
--- a/crates/saltpitch/src/store.rs
+++ b/crates/saltpitch/src/store.rs
@@ -2,6 +2,7 @@
 //! controller's share of the service's rate limits.
 
 mod health;
+mod listing;
 mod rate_limits;
 
 use std::net::SocketAddr;
@@ -9,18 +10,19 @@
 use std::time::Duration;
 
 use hyper::Method;
-use saltpitch_core::records::{RecordChange, PREFIX};
+use saltpitch_core::records::PREFIX;
 use saltpitch_core::scheduler::{Precondition, Transaction, TransactionOutcome, Write};
 use saltpitch_core::Micros;
 
 use self::health::Health;
+pub use self::listing::{Listing, ListingError};
 use self::rate_limits::{RateLimits, Rates};
 use crate::clock::Clock;
 use crate::http::{CallError, Client, Reply};
 use crate::mutex::lock;
 use crate::settings::StoreLimits;
 use crate::wire::store as wire;
-pub use crate::wire::store::{Changes, LeaseAttachment};
+pub use crate::wire::store::{Changes, LeaseAttachment, Page};
 use crate::wire::DecodeError;
 
 /// The number of records requested per page of a listing.
@@ -31,14 +33,24 @@
 const WATCH_GRACE: Duration = Duration::from_millis(1_500);
 const LEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The outcome of a watch.
-pub enum WatchOutcome {
-    /// The changes since the revision, possibly none.
-    Changes(Changes),
+/// Why records or changes could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum ReadError {
+    /// This controller's request budget is exhausted; nothing was sent.
+    #[error("the request budget is exhausted")]
+    OverBudget,
+    /// The request was not sent, or there was no response in time.
+    #[error("no response ({0:?})")]
+    NoResponse(CallError),
+    /// The service responded with an error, for example 429 above its rate limit.
+    #[error("status {0}")]
+    Status(u16),
     /// The revision is older than the service's history, so all records must be listed again.
+    #[error("the revision is older than the history of changes")]
     RevisionTooOld,
-    /// The service did not respond, responded with an error, or the response was unreadable.
-    Failed,
+    /// The response cannot be decoded.
+    #[error("unreadable response: {0}")]
+    Unreadable(#[from] DecodeError),
 }
 
 /// The outcome of a renewal of the leadership lease.
@@ -52,20 +64,6 @@
     Unknown,
 }
 
-/// Why a page of a listing could not be read.
-#[derive(Debug, thiserror::Error)]
-enum PageError {
-    /// The request was not sent, or there was no response in time.
-    #[error("no response ({0:?})")]
-    NoResponse(CallError),
-    /// The service responded with an error, for example 429 above its rate limit.
-    #[error("status {0}")]
-    Status(u16),
-    /// The response is not a page of records.
-    #[error("unreadable page: {0}")]
-    Unreadable(DecodeError),
-}
-
 /// Returns a transaction that writes one record if the record still has the given revision. Revision 0
 /// requires that the record does not exist yet.
 pub fn conditional_write(key: &str, value: &str, revision: u64) -> Transaction {
@@ -162,44 +160,9 @@
         result
     }
 
-    /// Lists all records under this program's prefix and passes them to `handle_page` page by page,
-    /// because all of them together may exceed the memory of this process. Returns the revision from
-    /// which to follow changes.
-    pub async fn list_records(
-        &self,
-        mut handle_page: impl FnMut(Vec<RecordChange>),
-    ) -> Option<u64> {
-        let mut first_revision = None;
-        let mut last_key = String::new();
-        let started_at = self.clock.now();
-        let (mut pages, mut records) = (0, 0);
-        loop {
-            let page = match self.list_page(&last_key).await {
-                Ok(page) => page,
-                Err(error) => {
-                    let elapsed = self.clock.now().since(started_at).as_secs_f64();
-                    tracing::info!("store: listing of the records stopped after {pages} pages, {records} records and {elapsed:.1} s: {error}");
-                    return None;
-                }
-            };
-            pages += 1;
-            records += page.records.len();
-            let revision = *first_revision.get_or_insert(page.revision);
-            if let Some(last) = page.records.last() {
-                last_key.clone_from(&last.key);
-            }
-            let is_last = !page.has_next || page.records.is_empty();
-            handle_page(page.records);
-            if is_last {
-                let elapsed = self.clock.now().since(started_at).as_secs_f64();
-                tracing::info!("store: {records} records listed, {pages} pages in {elapsed:.1} s");
-                return Some(revision);
-            }
-        }
-    }
-
-    /// Reads the page of records that follow the key `after`, or the first page if `after` is empty.
-    async fn list_page(&self, after: &str) -> Result<wire::Page, PageError> {
+    /// Reads the page of records that follow the key `after`, or the first page if `after` is empty. All records
+    /// together may exceed the memory of this process.
+    pub async fn list_page(&self, after: &str) -> Result<Page, ReadError> {
         let path = if after.is_empty() {
             format!("/store?starts={PREFIX}&page={PAGE_SIZE}")
         } else {
@@ -208,39 +171,29 @@
         let reply = self
             .call(Method::GET, &path, Vec::new(), LIST_TIMEOUT)
             .await
-            .map_err(PageError::NoResponse)?;
-        if reply.status != 200 {
-            return Err(PageError::Status(reply.status));
+            .map_err(ReadError::NoResponse)?;
+        match reply.status {
+            200 => Ok(wire::decode_page(&reply.body)?),
+            status => Err(ReadError::Status(status)),
         }
-        wire::decode_page(&reply.body).map_err(PageError::Unreadable)
     }
 
     /// Reads the changes after a revision, and waits up to `wait` for the first one. The caller must
     /// pace watches that wait; a watch with a `wait` of zero is taken from the request budget.
-    pub async fn watch(&self, from: u64, wait: Duration) -> WatchOutcome {
+    pub async fn watch(&self, from: u64, wait: Duration) -> Result<Changes, ReadError> {
         if wait.is_zero() && !self.try_request() {
-            return WatchOutcome::Failed;
+            return Err(ReadError::OverBudget);
         }
         let wait_ms = wait.as_millis();
         let path = format!("/watch?starts={PREFIX}&from={from}&wait_ms={wait_ms}");
         let reply = self
             .call(Method::GET, &path, Vec::new(), wait + WATCH_GRACE)
-            .await;
-        let Ok(reply) = reply else {
-            return WatchOutcome::Failed;
-        };
+            .await
+            .map_err(ReadError::NoResponse)?;
         match reply.status {
-            200 => wire::decode_changes(&reply.body).map_or_else(
-                |error| {
-                    tracing::error!(
-                        "store: unreadable changes, treating the watch as failed: {error}"
-                    );
-                    WatchOutcome::Failed
-                },
-                WatchOutcome::Changes,
-            ),
-            410 => WatchOutcome::RevisionTooOld,
-            _ => WatchOutcome::Failed,
+            200 => decode_changes(&reply),
+            410 => Err(ReadError::RevisionTooOld),
+            status => Err(ReadError::Status(status)),
         }
     }
 
@@ -358,3 +311,10 @@
             .await;
     }
 }
+
+fn decode_changes(reply: &Reply) -> Result<Changes, ReadError> {
+    wire::decode_changes(&reply.body).map_err(|error| {
+        tracing::error!("store: unreadable changes, treating the watch as failed: {error}");
+        ReadError::Unreadable(error)
+    })
+}
--- a/crates/saltpitch/tests/end_to_end/main.rs
+++ b/crates/saltpitch/tests/end_to_end/main.rs
@@ -2,5 +2,6 @@
 //! the published protocols. The wait bounds only keep a test from hanging; they assert no response time.
 
 mod one_cell;
+mod restart;
 mod site;
 mod two_cells;
--- /dev/null
+++ b/crates/saltpitch/tests/end_to_end/restart.rs
@@ -0,0 +1,123 @@
+//! Tests of controllers that read many records when they start.
+
+use std::time::{Duration, Instant};
+
+use poem::http::Method;
+use saltpitch_core::records::job_key;
+use saltpitch_core::scheduler::Write;
+use saltpitch_core::token_bucket::TokenBucket;
+
+use crate::site::{
+    self, call, lock, wait_until_healthy, ControllerProcesses, SharedSite, StoreFault, StoreRequest,
+};
+
+/// The time without an answer after which a job counts as forgotten.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(75);
+const ATTEMPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Puts the records of `count` completed jobs into the store, listed in pages of `page_rows`. Returns the id of the
+/// last one.
+fn add_completed_jobs(site: &SharedSite, count: usize, page_rows: usize) -> String {
+    let mut site = lock(site);
+    site.store_conditions.max_page_rows = page_rows;
+    let id = |number: usize| format!("job-{:07}", 1_000_000 + number);
+    for number in 0..count {
+        let write = Write {
+            key: job_key(&id(number)),
+            value: Some(r#"{"s":"done","t":0,"f":1796000000000000}"#.to_owned()),
+        };
+        site.store.txn(&[], &[write], None);
+    }
+    id(count - 1)
+}
+
+/// Returns the pages that were requested, by the key after which each begins.
+fn requested_pages(site: &SharedSite) -> Vec<String> {
+    let site = lock(site);
+    let pages = site.store_conditions.requests.iter();
+    pages
+        .filter_map(|request| request.page_after().map(str::to_owned))
+        .collect()
+}
+
+/// Answers the third, fifth, seventh and ninth request for a page with a fault each.
+fn fault_on_every_other_page() -> impl FnMut(&StoreRequest) -> Option<StoreFault> {
+    let mut page_requests = 0;
+    move |request| {
+        request.page_after()?;
+        page_requests += 1;
+        match page_requests {
+            3 => Some(StoreFault::Status(429)),
+            5 => Some(StoreFault::Status(503)),
+            7 => Some(StoreFault::Unreadable),
+            9 => Some(StoreFault::NoAnswer),
+            _ => None,
+        }
+    }
+}
+
+/// Guards against a controller that drops the pages that it has read, and begins again at the first one, when the
+/// store refuses one page with 429 or 503, or answers it unreadably or not at all.
+#[tokio::test]
+async fn a_listing_continues_at_the_page_that_was_refused() {
+    let (site, addresses) = site::start(1);
+    let last_job = add_completed_jobs(&site, 100, 10);
+    lock(&site).store_conditions.choose_fault = Some(Box::new(fault_on_every_other_page()));
+    let mut controllers = ControllerProcesses::new("refused-page", &addresses, None);
+    controllers.start(0);
+    wait_until_healthy(addresses.api[0]).await;
+    let mut pages = requested_pages(&site);
+    let requests = pages.len();
+    assert_eq!(
+        pages.iter().filter(|page| page.is_empty()).count(),
+        1,
+        "{pages:?}"
+    );
+    pages.dedup();
+    assert_eq!(
+        requests,
+        pages.len() + 4,
+        "each refused page is requested twice"
+    );
+    assert!(
+        pages.is_sorted(),
+        "no page is requested again later: {pages:?}"
+    );
+    let path = format!("/v2/runs/{last_job}");
+    let reply = call(addresses.api[0], Method::GET, &path, None).await;
+    assert_eq!(
+        reply.expect("the controller replies").body["status"],
+        "done"
+    );
+}
+
+/// Guards against controllers that restart together and never read all records, because their listings use up the
+/// request rate of the store and each refusal makes them begin again: no question is answered any more.
+#[tokio::test]
+async fn all_controllers_answer_again_after_they_restart_together_with_many_records() {
+    const REQUESTS_PER_SECOND: f64 = 60.0;
+    let (site, addresses) = site::start(3);
+    let last_job = add_completed_jobs(&site, 1_200, 10);
+    let limit = TokenBucket::per_second(REQUESTS_PER_SECOND);
+    lock(&site).store_conditions.request_limit = Some(limit);
+    let mut controllers = ControllerProcesses::with_store_rate(
+        "restart-together",
+        &addresses,
+        None,
+        REQUESTS_PER_SECOND,
+    );
+    let started_at = Instant::now();
+    controllers.start_all();
+    let path = format!("/v2/runs/{last_job}");
+    for addr in addresses.api {
+        loop {
+            let reply = call(addr, Method::GET, &path, None).await;
+            if reply.is_some_and(|reply| reply.status == 200 && reply.body["status"] == "done") {
+                break;
+            }
+            let elapsed = started_at.elapsed();
+            assert!(elapsed < FORGOTTEN_AFTER, "no answer from {addr}");
+            tokio::time::sleep(ATTEMPT_PAUSE).await;
+        }
+    }
+}
--- a/crates/saltpitch/tests/end_to_end/site/mod.rs
+++ b/crates/saltpitch/tests/end_to_end/site/mod.rs
@@ -24,6 +24,7 @@
 pub use jobs::{submit, wait_for_status, Job};
 pub use programs::ControllerProcesses;
 pub use reply::Reply;
+pub use store::{StoreConditions, StoreFault, StoreRequest};
 
 use http::serve;
 
@@ -44,6 +45,8 @@
     controller_addresses: Vec<SocketAddr>,
     /// The controllers' names, in the order of their addresses.
     controller_names: Vec<String>,
+    /// Under which conditions the state service answers.
+    pub store_conditions: StoreConditions,
     /// The only controller whose requests the store refuses, if any.
     pub refused_controller: Option<usize>,
     /// How often each task completed, by job id and task index.
@@ -132,6 +135,7 @@
         max_machines: usize::MAX,
         controller_addresses: addresses.api.clone(),
         controller_names: (0..controller_count).map(|n| format!("n{n}")).collect(),
+        store_conditions: StoreConditions::default(),
         refused_controller: None,
         completions: HashMap::new(),
     }));
@@ -142,14 +146,7 @@
     for (n, address) in addresses.store.iter().enumerate() {
         let shared = site.clone();
         serve(*address, move |method, uri, body| {
-            let site = shared.clone();
-            async move {
-                let refused = lock(&site).refused_controller == Some(n);
-                if refused {
-                    return Reply::error(503, "trouble");
-                }
-                store::answer(site, method, uri, body).await
-            }
+            store::serve_request(shared.clone(), n, method, uri, body)
         });
     }
     (site, addresses)
--- a/crates/saltpitch/tests/end_to_end/site/programs.rs
+++ b/crates/saltpitch/tests/end_to_end/site/programs.rs
@@ -7,6 +7,9 @@
 
 use super::Addresses;
 
+/// The limit on requests to the state service in the settings.
+const STORE_REQUESTS_PER_SECOND: f64 = 500.0;
+
 /// The controller processes of one site, and the folder with their settings. Dropping it kills the processes and
 /// removes the folder.
 pub struct ControllerProcesses {
@@ -27,6 +30,16 @@
 impl ControllerProcesses {
     /// Writes the settings files, and the file on cells if `cells_text` is given. Starts no process.
     pub fn new(name: &str, addresses: &Addresses, cells_text: Option<&str>) -> ControllerProcesses {
+        ControllerProcesses::with_store_rate(name, addresses, cells_text, STORE_REQUESTS_PER_SECOND)
+    }
+
+    /// Writes the settings files, in which the state service allows `store_rps` requests per second.
+    pub fn with_store_rate(
+        name: &str,
+        addresses: &Addresses,
+        cells_text: Option<&str>,
+        store_rps: f64,
+    ) -> ControllerProcesses {
         // Tests of one process run in parallel and have sites of the same name; the port keeps their folders apart.
         let port = addresses.cloud.port();
         let folder = format!("saltpitch-{}-{name}-{port}", std::process::id());
@@ -34,7 +47,7 @@
         std::fs::create_dir_all(&folder).expect("the folder for settings is created");
         let controllers = addresses.api.len();
         for n in 0..controllers {
-            let settings = settings(n, addresses).to_string();
+            let settings = settings(n, addresses, store_rps).to_string();
             std::fs::write(settings_file(&folder, n), settings)
                 .expect("the settings file is written");
         }
@@ -120,7 +133,7 @@
 
 /// Returns the settings of a controller. The field `new_field` is unknown to the program: unknown fields must not
 /// keep a controller from starting.
-fn settings(n: usize, addresses: &Addresses) -> Value {
+fn settings(n: usize, addresses: &Addresses, store_rps: f64) -> Value {
     let Addresses {
         api,
         peer,
@@ -147,7 +160,7 @@
             "objectives": [],
             "workers": {"report_s": 0.5, "lease_s": 6.0, "gang_wait_s": 20.0, "gang_peer_s": 3.0,
                 "cancel_s": 20.0},
-            "state": {"rps": 500.0, "write_rps": 300.0, "value_kb": 16.0, "txn_ops": 16},
+            "state": {"rps": store_rps, "write_rps": 300.0, "value_kb": 16.0, "txn_ops": 16},
             "cloud": {"rps": 20.0, "list_lag_s": 1.0},
             "limits": {"cpu_share": 1.0, "mem_mb": 200.0, "sockets": 500},
             "clock_error_ms": 5.0, "new_field": true
--- a/crates/saltpitch/tests/end_to_end/site/store.rs
+++ b/crates/saltpitch/tests/end_to_end/site/store.rs
@@ -1,9 +1,11 @@
 //! The stand-in for the state service.
 
+use std::ops::Bound;
 use std::time::{Duration, Instant};
 
 use poem::http::Method;
 use saltpitch_core::scheduler::{Precondition, TransactionOutcome, Write};
+use saltpitch_core::token_bucket::TokenBucket;
 use saltpitch_core::Micros;
 use saltpitch_testkit::store::Store;
 use serde_json::{json, Value};
@@ -14,18 +16,132 @@
 /// The interval at which an open watch looks for changes.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Answers a request to the state service.
-pub async fn answer(site: SharedSite, method: Method, uri: String, body: Value) -> Reply {
+/// The most records on a page of a listing.
+const MAX_PAGE_ROWS: usize = 1_000;
+/// How long a request waits that gets no answer; longer than any time limit of the program.
+const NO_ANSWER_DELAY: Duration = Duration::from_secs(30);
+
+/// A request that a controller sent to the state service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreRequest {
+    /// The controller's number.
+    pub controller: usize,
+    /// The method.
+    pub method: Method,
+    /// The path and the query.
+    pub uri: String,
+    /// The status of the answer; 0 if there was none.
+    pub status: u16,
+}
+
+impl StoreRequest {
+    /// Returns the key after which a page of a listing begins, which is empty for the first page. Returns `None` if
+    /// this is not a request for a page.
+    pub fn page_after(&self) -> Option<&str> {
+        let is_page = self.uri.starts_with("/store?");
+        is_page.then(|| query_parameter(&self.uri, "from").unwrap_or_default())
+    }
+}
+
+/// An answer that the state service gives instead of carrying out a request.
+#[derive(Clone, Copy, Debug)]
+pub enum StoreFault {
+    /// An error status.
+    Status(u16),
+    /// No answer at all.
+    NoAnswer,
+    /// An answer that does not follow the protocol.
+    Unreadable,
+}
+
+/// Chooses the fault with which a request is answered, if any.
+pub type ChooseFault = Box<dyn FnMut(&StoreRequest) -> Option<StoreFault> + Send>;
+
+/// Under which conditions the state service answers, and what it was asked.
+pub struct StoreConditions {
+    /// The limit on requests per second of all controllers together, if there is one.
+    pub request_limit: Option<TokenBucket>,
+    /// The most records on a page of a listing.
+    pub max_page_rows: usize,
+    /// The faults with which requests are answered.
+    pub choose_fault: Option<ChooseFault>,
+    /// The requests so far.
+    pub requests: Vec<StoreRequest>,
+}
+
+impl Default for StoreConditions {
+    fn default() -> StoreConditions {
+        StoreConditions {
+            request_limit: None,
+            max_page_rows: MAX_PAGE_ROWS,
+            choose_fault: None,
+            requests: Vec::new(),
+        }
+    }
+}
+
+impl StoreConditions {
+    /// Returns the fault with which this request is answered, if any.
+    fn fault(&mut self, request: &StoreRequest, now: Micros) -> Option<StoreFault> {
+        let is_over_limit = |limit: &mut TokenBucket| !limit.try_spend(1.0, now);
+        if self.request_limit.as_mut().is_some_and(is_over_limit) {
+            return Some(StoreFault::Status(429));
+        }
+        self.choose_fault.as_mut()?(request)
+    }
+}
+
+/// Answers a controller's request to the state service, and notes it.
+pub async fn serve_request(
+    site: SharedSite,
+    controller: usize,
+    method: Method,
+    uri: String,
+    body: Value,
+) -> Reply {
+    let mut request = StoreRequest {
+        controller,
+        method: method.clone(),
+        uri: uri.clone(),
+        status: 0,
+    };
+    let fault = {
+        let mut site = lock(&site);
+        let now = site.now();
+        if site.refused_controller == Some(controller) {
+            Some(StoreFault::Status(503))
+        } else {
+            site.store_conditions.fault(&request, now)
+        }
+    };
+    let reply = match fault {
+        None => answer(site.clone(), method, uri, body).await,
+        Some(StoreFault::Status(status)) => Reply::error(status, "trouble"),
+        Some(StoreFault::Unreadable) => Reply::new(200, json!("trouble")),
+        Some(StoreFault::NoAnswer) => {
+            lock(&site).store_conditions.requests.push(request);
+            tokio::time::sleep(NO_ANSWER_DELAY).await;
+            return Reply::error(503, "trouble");
+        }
+    };
+    request.status = reply.status;
+    lock(&site).store_conditions.requests.push(request);
+    reply
+}
+
+/// Carries out a request.
+async fn answer(site: SharedSite, method: Method, uri: String, body: Value) -> Reply {
     let path = uri.split('?').next().unwrap_or_default();
     if path == "/watch" {
         return watch(&site, &uri).await;
     }
     let mut site = lock(&site);
     let now = site.now();
+    let max_page_rows = site.store_conditions.max_page_rows;
     let store = &mut site.store;
     store.tick(now);
     match path {
-        "/store" => list(store),
+        "/store" => list(store, &uri, max_page_rows),
         "/txn" => commit(store, &body),
         "/holds" => {
             let ttl = Micros::from_millis(body["ttl_ms"].as_u64().unwrap_or(0));
@@ -74,14 +190,20 @@
     store.changes(from).map(change).collect()
 }
 
-/// Replies with all keys on one page.
-fn list(store: &Store) -> Reply {
+/// Replies with one page of the keys.
+fn list(store: &Store, uri: &str, max_rows: usize) -> Reply {
+    let first = match query_parameter(uri, "from") {
+        Some(after) => Bound::Excluded(after.to_owned()),
+        None => Bound::Unbounded,
+    };
+    let mut entries = store.keys.range((first, Bound::Unbounded));
     let mut rows = Vec::new();
-    for (key, entry) in &store.keys {
+    for (key, entry) in entries.by_ref().take(max_rows) {
         let value: Value = serde_json::from_str(&entry.value).expect("the value is JSON");
         rows.push(json!({"path": key, "v": value, "entry_no": entry.revision}));
     }
-    let body = json!({"rows": rows, "has_next": false, "ledger_no": store.revision});
+    let has_next = entries.next().is_some();
+    let body = json!({"rows": rows, "has_next": has_next, "ledger_no": store.revision});
     Reply::new(200, body)
 }
 
