Take the pages of a listing from the request budget, after other requests

Beside this, while listings ran, transactions of users and of the leader met 429, since listings took the whole rate.

Cause: list_page was the only read that took nothing from the controller's share of the request rate. Three controllers asked for about 90 pages in each second together and were refused as many times as they began; nobody else had a share left.

Change: a page waits until the budget has a token beyond a reserve of half its capacity, so that users' requests go first. After a second it may use the reserve, so that it is never delayed forever. `saltpitch cells` has a share of its own, the 5% that the controllers leave; it counted as one more follower.

--- a/crates/saltpitch-core/src/token_bucket.rs
+++ b/crates/saltpitch-core/src/token_bucket.rs
@@ -97,7 +97,8 @@
         self.rate = self.rate.min(rate);
     }
 
-    fn capacity(&self) -> f64 {
+    /// Returns the largest number of tokens that the bucket holds.
+    pub fn capacity(&self) -> f64 {
         (self.rate * self.capacity_seconds).max(self.min_capacity)
     }
 
--- a/crates/saltpitch/src/cells/command.rs
+++ b/crates/saltpitch/src/cells/command.rs
@@ -19,7 +19,7 @@
 use crate::clock::Clock;
 use crate::http::Client;
 use crate::settings::Settings;
-use crate::store::{Listing, ListingError, StoreClient};
+use crate::store::{Listing, ListingError, Role, StoreClient};
 
 const TRANSACTION_TIMEOUT: Duration = Duration::from_secs(3);
 /// The most addresses to which the command keeps connections open.
@@ -139,6 +139,7 @@
         clock,
         settings.store,
         settings.controller_count,
+        Role::Command,
     ))
 }
 
--- a/crates/saltpitch/src/node.rs
+++ b/crates/saltpitch/src/node.rs
@@ -20,7 +20,7 @@
 use crate::mutex::lock;
 use crate::peer_link::PeerClient;
 use crate::settings::Settings;
-use crate::store::StoreClient;
+use crate::store::{Role, StoreClient};
 
 /// The percentages of the sockets for connections accepted from users and agents, and for idle
 /// connections kept to machines. [`crate::server`] reserves sockets for connections that wait to be
@@ -109,6 +109,7 @@
             clock,
             settings.store.clone(),
             settings.controller_count,
+            Role::Follower,
         );
         let cloud = CloudClient::new(http.clone(), settings.cloud_addr, clock, settings.cloud_rps);
         let mut rng = SmallRng::from_os_rng();
--- a/crates/saltpitch/src/store.rs
+++ b/crates/saltpitch/src/store.rs
@@ -16,6 +16,7 @@
 
 use self::health::Health;
 pub use self::listing::{Listing, ListingError};
+pub use self::rate_limits::Role;
 use self::rate_limits::{RateLimits, Rates};
 use crate::clock::Clock;
 use crate::http::{CallError, Client, Reply};
@@ -32,6 +33,9 @@
 /// open.
 const WATCH_GRACE: Duration = Duration::from_millis(1_500);
 const LEASE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bounds of the time after which a delayed request looks at the request budget again.
+const MIN_BUDGET_WAIT: Duration = Duration::from_millis(5);
+const MAX_BUDGET_WAIT: Duration = Duration::from_millis(250);
 
 /// Why records or changes could not be read.
 #[derive(Debug, thiserror::Error)]
@@ -86,27 +90,33 @@
 }
 
 impl StoreClient {
-    /// Creates a client for one of `controller_count` controllers, with a follower's share of the rate
-    /// limits.
+    /// Creates a client for a process in this role in a site with `controller_count` controllers, with its
+    /// share of the rate limits.
     pub fn new(
         http: Arc<Client>,
         addr: SocketAddr,
         clock: Clock,
         limits: StoreLimits,
         controller_count: usize,
+        role: Role,
     ) -> StoreClient {
         StoreClient {
             http,
             addr,
             clock,
-            rate_limits: Mutex::new(RateLimits::new(limits, controller_count)),
+            rate_limits: Mutex::new(RateLimits::new(limits, controller_count, role)),
             health: Mutex::default(),
         }
     }
 
     /// Switches to the leader's or to a follower's share of the rate limits.
     pub fn set_leading(&self, is_leader: bool) {
-        lock(&self.rate_limits).set_leading(is_leader);
+        let role = if is_leader {
+            Role::Leader
+        } else {
+            Role::Follower
+        };
+        lock(&self.rate_limits).set_role(role);
     }
 
     /// Returns the pause between two requests of a kind that may use this fraction of an equal share of
@@ -126,6 +136,19 @@
         lock(&self.rate_limits).try_changes(changes, self.clock.now())
     }
 
+    /// Waits until the request budget allows a request that may be delayed, and takes it.
+    async fn background_request(&self) {
+        let waiting_since = self.clock.now();
+        loop {
+            let now = self.clock.now();
+            let waited = now.since(waiting_since);
+            let granted = lock(&self.rate_limits).try_background_request(waited, now);
+            let Err(wait) = granted else { return };
+            let wait = Duration::from_micros(wait.0);
+            tokio::time::sleep(wait.clamp(MIN_BUDGET_WAIT, MAX_BUDGET_WAIT)).await;
+        }
+    }
+
     /// Records that the service refused a transaction because of the rate of changes.
     fn record_refusal(&self) {
         let mut rate_limits = lock(&self.rate_limits);
@@ -161,8 +184,10 @@
     }
 
     /// Reads the page of records that follow the key `after`, or the first page if `after` is empty. All records
-    /// together may exceed the memory of this process.
+    /// together may exceed the memory of this process. A page waits for the request budget, part of which it
+    /// leaves to other requests.
     pub async fn list_page(&self, after: &str) -> Result<Page, ReadError> {
+        self.background_request().await;
         let path = if after.is_empty() {
             format!("/store?starts={PREFIX}&page={PAGE_SIZE}")
         } else {
--- a/crates/saltpitch/src/store/rate_limits.rs
+++ b/crates/saltpitch/src/store/rate_limits.rs
@@ -18,6 +18,13 @@
 const ONLY_CONTROLLER_SHARE: f64 = 0.9;
 const LEADER_SHARE: f64 = 0.5;
 const FOLLOWERS_SHARE: f64 = 0.45;
+/// The share of an operator's command, which is what the controllers leave.
+const COMMAND_SHARE: f64 = 0.05;
+
+/// The part of the budget's capacity that background requests leave to other requests.
+const BACKGROUND_RESERVE: f64 = 0.5;
+/// A background request that has waited this long may use the reserve as well, so that it is never delayed forever.
+const BACKGROUND_PATIENCE: Micros = Micros::from_secs(1);
 
 /// Bounds of the pause between two paced requests, in seconds, and the lowest rate in requests per
 /// second from which it is computed.
@@ -34,12 +41,23 @@
     pub changes: f64,
 }
 
-/// The budgets of requests and changes that this controller may send.
+/// The process that uses the state service, on which its share of the request rate depends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// The controller that schedules.
+    Leader,
+    /// Another controller.
+    Follower,
+    /// A command that an operator runs beside the controllers.
+    Command,
+}
+
+/// The budgets of requests and changes that this process may send.
 pub struct RateLimits {
     limits: StoreLimits,
     /// The number of controllers that share the service.
     controller_count: usize,
-    is_leader: bool,
+    role: Role,
     requests: TokenBucket,
     changes: TokenBucket,
     /// The times within [`REFUSAL_WINDOW`] at which changes were refused because of their rate.
@@ -49,14 +67,15 @@
 }
 
 impl RateLimits {
-    /// Creates a follower's budgets under the service's present limits.
-    pub fn new(limits: StoreLimits, controller_count: usize) -> RateLimits {
+    /// Creates the budgets of a process beside `controller_count` controllers, or of one of them, under the
+    /// service's present limits.
+    pub fn new(limits: StoreLimits, controller_count: usize, role: Role) -> RateLimits {
         let mut rate_limits = RateLimits {
             requests: TokenBucket::per_second(limits.rps),
             changes: TokenBucket::per_second(limits.write_rps),
             limits,
             controller_count: controller_count.max(1),
-            is_leader: false,
+            role,
             refusal_times: Vec::new(),
             uses_next_limits: false,
         };
@@ -64,9 +83,9 @@
         rate_limits
     }
 
-    /// Switches to the leader's or to a follower's share.
-    pub fn set_leading(&mut self, is_leader: bool) {
-        self.is_leader = is_leader;
+    /// Switches to the share of another role.
+    pub fn set_role(&mut self, role: Role) {
+        self.role = role;
         self.update_rates();
     }
 
@@ -75,10 +94,11 @@
     /// controller may use all that the leader's scheduler leaves; the service itself refuses what
     /// exceeds the total.
     fn update_rates(&mut self) {
-        let share = match (self.is_leader, self.controller_count) {
+        let share = match (self.role, self.controller_count) {
+            (Role::Command, _) => COMMAND_SHARE,
             (_, 1) => ONLY_CONTROLLER_SHARE,
-            (true, _) => LEADER_SHARE,
-            (false, controller_count) => FOLLOWERS_SHARE / (controller_count - 1) as f64,
+            (Role::Leader, _) => LEADER_SHARE,
+            (Role::Follower, controller_count) => FOLLOWERS_SHARE / (controller_count - 1) as f64,
         };
         let rates = self.rates();
         self.requests.set_rate(rates.requests * share);
@@ -106,6 +126,21 @@
         self.requests.try_spend(1.0, now)
     }
 
+    /// Takes one request that may be delayed, and has been for `waited` so far, from the request budget, unless
+    /// what is left is reserved for other requests. Otherwise returns how long to wait before it is tried again.
+    pub fn try_background_request(&mut self, waited: Micros, now: Micros) -> Result<(), Micros> {
+        let reserve = if waited < BACKGROUND_PATIENCE {
+            (self.requests.capacity() - 1.0) * BACKGROUND_RESERVE
+        } else {
+            0.0
+        };
+        if self.requests.available(now) >= 1.0 + reserve {
+            self.requests.spend(1.0);
+            return Ok(());
+        }
+        Err(self.requests.ready_at(1.0 + reserve).since(now))
+    }
+
     /// Takes one request with `changes` changes from the budgets. Returns false if one of them is
     /// exhausted.
     pub fn try_changes(&mut self, changes: usize, now: Micros) -> bool {
--- a/crates/saltpitch/tests/end_to_end/restart.rs
+++ b/crates/saltpitch/tests/end_to_end/restart.rs
@@ -40,6 +40,15 @@
         .collect()
 }
 
+/// Returns the requests for pages that the store refused because of the request rate.
+fn refused_pages(site: &SharedSite) -> Vec<StoreRequest> {
+    let site = lock(site);
+    let requests = site.store_conditions.requests.iter();
+    let refused =
+        requests.filter(|request| request.page_after().is_some() && request.status == 429);
+    refused.cloned().collect()
+}
+
 /// Answers the third, fifth, seventh and ninth request for a page with a fault each.
 fn fault_on_every_other_page() -> impl FnMut(&StoreRequest) -> Option<StoreFault> {
     let mut page_requests = 0;
@@ -120,4 +129,9 @@
             tokio::time::sleep(ATTEMPT_PAUSE).await;
         }
     }
+    let refused_pages = refused_pages(&site);
+    assert!(
+        refused_pages.is_empty(),
+        "listings exceed their share of the request rate: {refused_pages:?}"
+    );
 }
