Take lease requests and waiting watches from the request budget

What callers see: while requests are scarce, a controller sends its share and, on top, up to 2 watches and 2 renewals a second; the service then refuses anybody's requests, a leader's renewal among them.

Cause: grant_lease, keep_alive, revoke_lease and waiting watches bypassed the budget.

Evidence: read from the code; the new unit test fails on the commit before (a read is still granted after 40 such calls in a budget of 18 requests a second) and passes here.

Change: they are sent at once as before, since a late renewal costs the leadership, but are spent from the budget, so that other requests make room for them.

--- a/crates/saltpitch/src/store.rs
+++ b/crates/saltpitch/src/store.rs
@@ -130,6 +130,11 @@
         lock(&self.rate_limits).try_request(self.clock.now())
     }
 
+    /// Takes one request that is sent in any case from the request budget.
+    fn spend_request(&self) {
+        lock(&self.rate_limits).spend_request(self.clock.now());
+    }
+
     /// Takes one request with `changes` changes from the budgets. Returns false if one of them is
     /// exhausted.
     fn try_changes(&self, changes: usize) -> bool {
@@ -204,9 +209,11 @@
     }
 
     /// Reads the changes after a revision, and waits up to `wait` for the first one. The caller must
-    /// pace watches that wait; a watch with a `wait` of zero is taken from the request budget.
+    /// pace watches that wait, since they are sent even if the request budget is exhausted.
     pub async fn watch(&self, from: u64, wait: Duration) -> Result<Changes, ReadError> {
-        if wait.is_zero() && !self.try_request() {
+        if !wait.is_zero() {
+            self.spend_request();
+        } else if !self.try_request() {
             return Err(ReadError::OverBudget);
         }
         let wait_ms = wait.as_millis();
@@ -303,6 +310,7 @@
 
     /// Requests a lease that expires unless it is renewed within `ttl`. Returns its id.
     pub async fn grant_lease(&self, ttl: Micros) -> Option<u64> {
+        self.spend_request();
         let body = wire::encode_grant_lease(ttl.0 / 1_000);
         let reply = self
             .call(Method::POST, "/holds", body, LEASE_TIMEOUT)
@@ -316,6 +324,7 @@
 
     /// Renews a lease.
     pub async fn keep_alive(&self, lease: u64) -> KeepAlive {
+        self.spend_request();
         let path = format!("/holds/{lease}/touch");
         let reply = self
             .call(Method::POST, &path, Vec::new(), LEASE_TIMEOUT)
@@ -330,6 +339,7 @@
     /// Revokes a lease, which deletes the key attached to it. If the request fails, the lease expires
     /// after its time to live.
     pub async fn revoke_lease(&self, lease: u64) {
+        self.spend_request();
         let path = format!("/holds/{lease}");
         let _ = self
             .call(Method::DELETE, &path, Vec::new(), LEASE_TIMEOUT)
@@ -343,3 +353,6 @@
         ReadError::Unreadable(error)
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/saltpitch/src/store/rate_limits.rs
+++ b/crates/saltpitch/src/store/rate_limits.rs
@@ -126,6 +126,13 @@
         self.requests.try_spend(1.0, now)
     }
 
+    /// Takes one request that must not be delayed from the request budget, even if the budget is exhausted: other
+    /// requests then wait until it is refilled.
+    pub fn spend_request(&mut self, now: Micros) {
+        self.requests.available(now);
+        self.requests.spend(1.0);
+    }
+
     /// Takes one request that may be delayed, and has been for `waited` so far, from the request budget, unless
     /// what is left is reserved for other requests. Otherwise returns how long to wait before it is tried again.
     pub fn try_background_request(&mut self, waited: Micros, now: Micros) -> Result<(), Micros> {
