Repeat a refused announcement after a pause, not after the next change of the records

What callers see: a controller whose announcement was refused cannot stand for election; if nothing changes it waits 8 s for a change before it tries again, and all controllers of a site do so after they restart together.

Cause: after the refusal one pause and one read, then a watch of the full wait.

Evidence: a_refused_announcement_is_repeated_without_waiting_for_a_change, a single controller whose first announcement gets 429: on the commit before a watch of 8,000 ms comes before the second announcement (fails), here none of more than 3,000 (passes).

Change: until the process is announced the watch waits only for the pause of an exponential backoff with jitter (300 ms to 2 s), so that controllers do not retry together, and it still finds a history that is too old.

--- a/crates/saltpitch/src/record_sync.rs
+++ b/crates/saltpitch/src/record_sync.rs
@@ -23,11 +23,13 @@
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Mean pauses before the next attempt, in milliseconds. The jitter is half of each in each direction.
 const FAILED_READ_PAUSE_MS: u64 = 400;
-const FAILED_ANNOUNCEMENT_PAUSE_MS: u64 = 300;
 const POST_LISTING_PAUSE_MS: u64 = 200;
 /// Mean pauses before a listing that was interrupted continues: the first one, and the longest.
 const FIRST_LISTING_PAUSE: Duration = Duration::from_millis(200);
 const MAX_LISTING_PAUSE: Duration = Duration::from_secs(2);
+/// The same for an announcement that was not committed.
+const FIRST_ANNOUNCEMENT_PAUSE: Duration = Duration::from_millis(300);
+const MAX_ANNOUNCEMENT_PAUSE: Duration = Duration::from_secs(2);
 
 impl Node {
     /// Waits until the records in memory are at least as new as this call. Returns false if the state
@@ -70,6 +72,7 @@
     /// The listing under way, if one was interrupted and is still needed.
     listing: Option<Listing>,
     listing_backoff: Backoff,
+    announcement_backoff: Backoff,
     /// The number of consecutive failed watches.
     failed_watches: u32,
 }
@@ -80,6 +83,7 @@
             node,
             listing: None,
             listing_backoff: Backoff::new(FIRST_LISTING_PAUSE, MAX_LISTING_PAUSE),
+            announcement_backoff: Backoff::new(FIRST_ANNOUNCEMENT_PAUSE, MAX_ANNOUNCEMENT_PAUSE),
             failed_watches: 0,
         }
     }
@@ -90,19 +94,26 @@
         }
         if !self.node.controller().is_announced() {
             announce(&self.node).await;
-            if !self.node.controller().is_announced() {
-                self.node.pause(FAILED_ANNOUNCEMENT_PAUSE_MS).await;
-                let _ = self.node.read_latest_records().await;
-            }
         }
-        self.watch_once().await;
+        let wait = self.next_watch_wait();
+        self.watch_once(wait).await;
+    }
+
+    /// Returns how long the next watch may wait for a change. Until this process is announced, the watch is also the
+    /// pause before the next announcement.
+    fn next_watch_wait(&mut self) -> Duration {
+        if self.node.controller().is_announced() {
+            self.announcement_backoff.reset();
+            return WATCH_WAIT;
+        }
+        self.announcement_backoff.next_pause(self.node.random())
     }
 
     /// Runs one watch and applies its changes.
-    async fn watch_once(&mut self) {
+    async fn watch_once(&mut self, wait: Duration) {
         let node = self.node.clone();
         let from_revision = node.controller().records().revision;
-        match node.store.watch(from_revision, WATCH_WAIT).await {
+        match node.store.watch(from_revision, wait).await {
             Ok(changes) => {
                 self.failed_watches = 0;
                 // The records in memory are up to date again without the listing.
--- a/crates/saltpitch/tests/end_to_end/restart.rs
+++ b/crates/saltpitch/tests/end_to_end/restart.rs
@@ -3,12 +3,14 @@
 use std::time::{Duration, Instant};
 
 use poem::http::Method;
-use saltpitch_core::records::job_key;
+use saltpitch_core::job::JobKind;
+use saltpitch_core::records::{job_key, node_key};
 use saltpitch_core::scheduler::Write;
 use saltpitch_core::token_bucket::TokenBucket;
 
 use crate::site::{
-    self, call, lock, wait_until_healthy, ControllerProcesses, SharedSite, StoreFault, StoreRequest,
+    self, call, lock, submit, wait_for_status, wait_until_healthy, ControllerProcesses, SharedSite,
+    StoreFault, StoreRequest,
 };
 
 /// The time without an answer after which a job counts as forgotten.
@@ -100,6 +102,45 @@
     );
 }
 
+/// Returns whether a request announces the process of controller 0.
+fn is_announcement(request: &StoreRequest) -> bool {
+    request.writes_key(&node_key("n0"))
+}
+
+/// Answers the first announcement of a controller's process with 429.
+fn refuse_the_first_announcement() -> impl FnMut(&StoreRequest) -> Option<StoreFault> {
+    let mut is_refused = false;
+    move |request| {
+        if is_refused || !is_announcement(request) {
+            return None;
+        }
+        is_refused = true;
+        Some(StoreFault::Status(429))
+    }
+}
+
+/// Guards against a controller that waits for a change of the records, for up to 8 s, before it repeats an
+/// announcement that the store refused; it cannot become the leader before that.
+#[tokio::test]
+async fn a_refused_announcement_is_repeated_without_waiting_for_a_change() {
+    const MAX_WAIT_MS: u64 = 3_000;
+    let (site, addresses) = site::start(1);
+    lock(&site).store_conditions.choose_fault = Some(Box::new(refuse_the_first_announcement()));
+    let mut controllers = ControllerProcesses::new("announcement", &addresses, None);
+    controllers.start(0);
+    submit(&site, addresses.api[0], "job-000001", JobKind::Array, 1).await;
+    wait_for_status(addresses.api[0], "job-000001", "done").await;
+    let requests = lock(&site).store_conditions.requests.clone();
+    let refused_at = requests.iter().position(is_announcement);
+    let after_refusal = &requests[refused_at.expect("the process was announced") + 1..];
+    let waits = after_refusal
+        .iter()
+        .take_while(|request| !is_announcement(request))
+        .filter_map(StoreRequest::watch_wait_ms);
+    let longest_wait = waits.max();
+    assert!(longest_wait <= Some(MAX_WAIT_MS), "{longest_wait:?} ms");
+}
+
 /// Guards against controllers that restart together and never read all records, because their listings use up the
 /// request rate of the store and each refusal makes them begin again: no question is answered any more.
 #[tokio::test]
--- a/crates/saltpitch/tests/end_to_end/site/store.rs
+++ b/crates/saltpitch/tests/end_to_end/site/store.rs
@@ -30,6 +30,8 @@
     pub method: Method,
     /// The path and the query.
     pub uri: String,
+    /// The body.
+    pub body: Value,
     /// The status of the answer; 0 if there was none.
     pub status: u16,
 }
@@ -41,6 +43,19 @@
         let is_page = self.uri.starts_with("/store?");
         is_page.then(|| query_parameter(&self.uri, "from").unwrap_or_default())
     }
+
+    /// Returns whether this is a transaction that writes the key.
+    pub fn writes_key(&self, key: &str) -> bool {
+        let mut writes = self.body["writes"].as_array().into_iter().flatten();
+        writes.any(|write| write["write"] == key)
+    }
+
+    /// Returns for how long a watch may wait, in milliseconds; `None` if this is not a watch.
+    pub fn watch_wait_ms(&self) -> Option<u64> {
+        let is_watch = self.uri.starts_with("/watch?");
+        let wait = query_parameter(&self.uri, "wait_ms").filter(|_| is_watch)?;
+        wait.parse().ok()
+    }
 }
 
 /// An answer that the state service gives instead of carrying out a request.
@@ -103,6 +118,7 @@
         controller,
         method: method.clone(),
         uri: uri.clone(),
+        body: body.clone(),
         status: 0,
     };
     let fault = {
