Repeat a refused read after a won election instead of giving the election up

What callers see: a controller that was elected revokes its lease and stands again, so the site is without a leader for another round, at the moment when all controllers read and the rate is scarcest.

Cause: campaign returned at the first failed read of the records, also when it failed for want of a request in the controller's own budget.

Evidence: an_elected_controller_repeats_a_refused_read_and_keeps_its_lease refuses two reads after the election with 429: two leases are granted on the commit before (fails), one here (passes).

Change: the read is repeated with jittered pauses of 100 ms for half of the lease; the bound on answers still counts from the grant, so nothing is answered for longer.

--- a/crates/saltpitch/src/leadership.rs
+++ b/crates/saltpitch/src/leadership.rs
@@ -19,6 +19,11 @@
 /// The mean pause after a lost election, in milliseconds. The jitter is half of it in each direction.
 const LOST_ELECTION_PAUSE_MS: u64 = 300;
 const ELECTION_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long after its lease was granted the winner of an election begins another read of the records if one failed,
+/// as a share of the lease. A read may take more than a third of the lease.
+const ELECTION_READ_SHARE_OF_LEASE: f64 = 0.5;
+/// The mean pause between two such reads, in milliseconds.
+const ELECTION_READ_PAUSE_MS: u64 = 100;
 
 /// As a follower, stands for election when there is no leader. As the leader, renews the leadership
 /// lease, and resigns when agents cannot reach this node. Never returns.
@@ -138,7 +143,9 @@
         return false;
     };
     // A leader must start from records that are at least as new as the transaction that began its term.
-    if !node.read_latest_records().await {
+    let last_read_at = lease_granted_at.plus(LEADERSHIP_LEASE.times(ELECTION_READ_SHARE_OF_LEASE));
+    if !read_latest_records_until(node, last_read_at).await {
+        tracing::info!("elected, but the records cannot be read: the leadership lease is revoked");
         return false;
     }
     let (now, wall) = (node.now(), node.clock.wall_time());
@@ -151,3 +158,17 @@
     }
     elected
 }
+
+/// Reads the latest records, and repeats reads that fail until the time `last_read_at`. Returns whether one of them
+/// succeeded.
+async fn read_latest_records_until(node: &Node, last_read_at: Micros) -> bool {
+    loop {
+        if node.read_latest_records().await {
+            return true;
+        }
+        if node.now() >= last_read_at {
+            return false;
+        }
+        node.pause(ELECTION_READ_PAUSE_MS).await;
+    }
+}
