Continue the cloud's list of machines at the page that was refused

What callers see: at a site of many pages machines on the last ones, rented by an earlier leader, are found late or never while the cloud refuses now and then.

Cause: list_machines kept its position only for the length of one call.

Evidence: read from the code; no site was seen to suffer from it.

Change: the position outlives a refusal, not the leadership. A page that fails three times makes the list begin anew, so that it can't hide the pages before it.

--- a/crates/saltpitch/src/cloud.rs
+++ b/crates/saltpitch/src/cloud.rs
@@ -17,6 +17,8 @@
 
 /// The maximum number of machines that the cloud lists per page.
 const PAGE_SIZE: usize = 500;
+/// After this many failures of one page the list is read from its start again.
+const MAX_PAGE_ATTEMPTS: u32 = 3;
 /// The fractions of the cloud's request rate for the list of machines and for all other requests. The
 /// rest is left for the other controllers, which read the catalogue when they start.
 const LISTING_SHARE: f64 = 0.15;
@@ -29,6 +31,39 @@
 const LIST_TIMEOUT: Duration = Duration::from_secs(3);
 const SCALING_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Where a reading of the list of machines continues.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListPosition {
+    /// The last machine that was read; `None` at the start of the list.
+    after: Option<String>,
+    /// How often the page after that machine has failed.
+    failed_attempts: u32,
+}
+
+impl ListPosition {
+    /// Moves to the page after the machine `after`, or to the start of the list.
+    fn move_to(&mut self, after: Option<String>) {
+        self.after = after;
+        self.failed_attempts = 0;
+    }
+
+    /// Records that the page failed. A page that fails repeatedly must not keep the pages before it from being read
+    /// again, so the list then begins anew.
+    fn page_failed(&mut self) {
+        self.failed_attempts += 1;
+        if self.failed_attempts == MAX_PAGE_ATTEMPTS {
+            self.move_to(None);
+        }
+    }
+
+    fn path(&self) -> String {
+        match &self.after {
+            Some(name) => format!("/machines?from={name}&page={PAGE_SIZE}"),
+            None => format!("/machines?page={PAGE_SIZE}"),
+        }
+    }
+}
+
 /// The client of the cloud.
 pub struct CloudClient {
     http: Arc<Client>,
@@ -90,32 +125,36 @@
             .ok()
     }
 
-    /// Reads the list of machines and passes each page to `handle_page` as it arrives, since the
-    /// machines on it exist even if a later page fails. Pages have their own small share of the request
-    /// rate. If they were taken from the budget of scaling requests, a list of many pages would never be
-    /// read completely and would delay those requests.
-    pub async fn list_machines(&self, mut handle_page: impl FnMut(&[ListedMachine])) {
-        let mut path = format!("/machines?page={PAGE_SIZE}");
+    /// Reads the list of machines from `position` on and passes each page to `handle_page` as it arrives, since
+    /// the machines on it exist even if a later page fails. At the end of the list `position` is its start again;
+    /// if a page fails, it is that page. Pages have their own small share of the request rate. If they were taken
+    /// from the budget of scaling requests, a list of many pages would never be read completely and would delay
+    /// those requests.
+    pub async fn list_machines(
+        &self,
+        position: &mut ListPosition,
+        mut handle_page: impl FnMut(&[ListedMachine]),
+    ) {
         loop {
-            let reply = self.get(&path, LIST_TIMEOUT).await;
+            let reply = self.get(&position.path(), LIST_TIMEOUT).await;
             let Some(reply) = reply.ok().filter(|reply| reply.status == 200) else {
-                return;
+                return position.page_failed();
             };
             let page = match wire::decode_machine_page(&reply.body) {
                 Ok(page) => page,
                 Err(error) => {
+                    position.page_failed();
                     return tracing::error!(
-                        "cloud: unreadable page of machines, abandoning the listing: {error}"
-                    )
+                        "cloud: unreadable page of machines, reading it again later: {error}"
+                    );
                 }
             };
             handle_page(&page.machines);
             tokio::time::sleep(self.page_pause).await;
-            match page.machines.last() {
-                Some(last) if page.has_next => {
-                    path = format!("/machines?from={}&page={PAGE_SIZE}", last.name);
-                }
-                _ => return,
+            let last = page.machines.last().filter(|_| page.has_next);
+            position.move_to(last.map(|machine| machine.name.clone()));
+            if position.after.is_none() {
+                return;
             }
         }
     }
--- a/crates/saltpitch/src/cloud_sync.rs
+++ b/crates/saltpitch/src/cloud_sync.rs
@@ -5,6 +5,7 @@
 
 use saltpitch_core::scheduler::ListedMachine;
 
+use crate::cloud::ListPosition;
 use crate::node::Node;
 
 /// Mean pauses between two reads of the catalogue, once a catalogue is known and before, in
@@ -36,6 +37,8 @@
     // The list lags by up to `max_list_lag`, so reading it more often than about every half of that,
     // with jitter, shows nothing new.
     let pause_ms = node.settings.max_list_lag.0 / 2_000;
+    let mut position = ListPosition::default();
+    let mut last_epoch = None;
     loop {
         let leading_epoch = {
             let controller = node.controller();
@@ -45,11 +48,15 @@
             node.pause(FOLLOWER_PAUSE_MS).await;
             continue;
         };
+        if last_epoch.replace(epoch) != Some(epoch) {
+            // A new leader needs the list from its start.
+            position = ListPosition::default();
+        }
         let handle_page = |page: &[ListedMachine]| {
             let now = node.now();
             node.controller().machines_listed(epoch, page, now);
         };
-        node.cloud.list_machines(handle_page).await;
+        node.cloud.list_machines(&mut position, handle_page).await;
         node.pause(pause_ms).await;
     }
 }
