Read a missing catalogue again within the controllers' share of the cloud's rate

What callers see: controllers that start together while the cloud refuses ask for the catalogue every 0.7 s each, 7 times a second with five of them; a cloud that allows 5 requests a second goes on refusing some of them for that alone.

Cause: one constant pause, whatever the number of controllers and the rate.

The new unit test adds up the reads of 1 to 7 controllers: with the constant pause 1.43 a second for one controller already, above the share of 1 (fails), with the backoff within it (passes).

Change: exponential backoff with jitter from 0.7 s to the pause at which all controllers together use a fifth of the cloud's rate.

--- a/crates/saltpitch/src/cloud.rs
+++ b/crates/saltpitch/src/cloud.rs
@@ -9,6 +9,7 @@
 use saltpitch_core::scheduler::{ListedMachine, ScaleOutOutcome};
 use saltpitch_core::token_bucket::TokenBucket;
 
+use crate::backoff::Backoff;
 use crate::clock::Clock;
 use crate::http::{CallError, Client, Reply};
 use crate::mutex::lock;
@@ -23,6 +24,11 @@
 /// rest is left for the other controllers, which read the catalogue when they start.
 const LISTING_SHARE: f64 = 0.15;
 const CALLS_SHARE: f64 = 0.8;
+/// The fraction of the cloud's request rate that all controllers together use to read a missing catalogue again and
+/// again. Without it none of them can lead and make other calls.
+const MISSING_CATALOG_SHARE: f64 = 0.2;
+/// The mean pause after the first failed read of a missing catalogue.
+const FIRST_CATALOG_PAUSE: Duration = Duration::from_millis(700);
 /// The maximum burst of calls, in seconds of the cloud's request rate. The cloud allows bursts of two
 /// seconds.
 const BURST_SECONDS: f64 = 1.5;
@@ -31,6 +37,14 @@
 const LIST_TIMEOUT: Duration = Duration::from_secs(3);
 const SCALING_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Returns the pauses between a controller's reads of a catalogue that is not known yet, in a site with
+/// `controller_count` controllers whose cloud accepts `rps` requests per second.
+pub fn missing_catalog_backoff(rps: f64, controller_count: usize) -> Backoff {
+    let pause_s = controller_count as f64 / (rps * MISSING_CATALOG_SHARE);
+    let max_pause = Duration::from_secs_f64(pause_s).max(FIRST_CATALOG_PAUSE);
+    Backoff::new(FIRST_CATALOG_PAUSE, max_pause)
+}
+
 /// Where a reading of the list of machines continues.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ListPosition {
--- a/crates/saltpitch/src/cloud/tests.rs
+++ b/crates/saltpitch/src/cloud/tests.rs
@@ -111,3 +111,23 @@
     position.page_failed();
     assert_eq!(position, ListPosition::default());
 }
+
+/// Guards against controllers that start together without a catalogue and ask for it faster, all of them together,
+/// than the cloud answers.
+#[test]
+fn reads_of_a_missing_catalogue_stay_within_their_share_of_the_rate() {
+    const RPS: f64 = 5.0;
+    for controller_count in 1..=7 {
+        let mut backoff = missing_catalog_backoff(RPS, controller_count);
+        let mean_pause = |backoff: &mut Backoff| backoff.next_pause(u64::MAX / 2).as_secs_f64();
+        let longest_pause = (0..20)
+            .map(|_| mean_pause(&mut backoff))
+            .fold(0.0, f64::max);
+        let reads_per_second = controller_count as f64 / longest_pause;
+        let share = RPS * MISSING_CATALOG_SHARE * 1.001;
+        assert!(
+            reads_per_second <= share,
+            "{controller_count}: {reads_per_second}"
+        );
+    }
+}
--- a/crates/saltpitch/src/cloud_sync.rs
+++ b/crates/saltpitch/src/cloud_sync.rs
@@ -5,30 +5,29 @@
 
 use saltpitch_core::scheduler::ListedMachine;
 
-use crate::cloud::ListPosition;
+use crate::cloud::{missing_catalog_backoff, ListPosition};
 use crate::node::Node;
 
-/// Mean pauses between two reads of the catalogue, once a catalogue is known and before, in
-/// milliseconds.
+/// The mean pause between two reads of the catalogue once a catalogue is known, in milliseconds.
 const CATALOG_PAUSE_MS: u64 = 30_000;
-const MISSING_CATALOG_PAUSE_MS: u64 = 700;
 /// The mean pause before a follower, which does not read the list, checks again whether it leads, in
 /// milliseconds.
 const FOLLOWER_PAUSE_MS: u64 = 500;
 
 /// Reads the catalogue of machine types from the cloud periodically. Never returns.
 pub async fn refresh_catalog(node: Arc<Node>) {
+    let settings = &node.settings;
+    let mut backoff = missing_catalog_backoff(settings.cloud_rps, settings.controller_count);
     loop {
         if let Some(catalog) = node.cloud.catalog().await {
             node.controller().set_catalog(Arc::new(catalog));
         }
         let is_known = node.controller().catalog().is_some();
-        let pause_ms = if is_known {
-            CATALOG_PAUSE_MS
+        if is_known {
+            node.pause(CATALOG_PAUSE_MS).await;
         } else {
-            MISSING_CATALOG_PAUSE_MS
-        };
-        node.pause(pause_ms).await;
+            tokio::time::sleep(backoff.next_pause(node.random())).await;
+        }
     }
 }
 
