Repeat refused watches no faster than the share of watches allows

What callers see: at a low rate the watches alone keep the service refusing, 2.5 a second from each controller.

Cause: the pause after a failed watch did not look at the share.

Change: the mean pause is the longer one of 0.4 s and the share's, with the jitter as before.

--- a/crates/saltpitch/src/record_sync.rs
+++ b/crates/saltpitch/src/record_sync.rs
@@ -127,7 +127,9 @@
                 node.pause(POST_LISTING_PAUSE_MS).await;
             }
             Err(_) => {
-                node.pause(FAILED_READ_PAUSE_MS).await;
+                // A refused watch counts towards the service's request rate, too.
+                let share_pause_ms = node.store.pace(WATCH_SHARE).as_millis() as u64;
+                node.pause(FAILED_READ_PAUSE_MS.max(share_pause_ms)).await;
                 self.failed_watches += 1;
                 // After a long disconnection there may be too many changes for one response, whereas a
                 // listing is read in pages.
--- a/crates/saltpitch/tests/end_to_end/restart.rs
+++ b/crates/saltpitch/tests/end_to_end/restart.rs
@@ -1,5 +1,6 @@
 //! Tests of controllers that read many records when they start.
 
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use poem::http::Method;
@@ -16,6 +17,8 @@
 /// The time without an answer after which a job counts as forgotten.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(75);
 const ATTEMPT_PAUSE: Duration = Duration::from_millis(100);
+/// The longest that a watch may wait, in milliseconds, while the controller's process is not announced.
+const MAX_ANNOUNCEMENT_WAIT_MS: u64 = 3_000;
 
 /// Puts the records of `count` completed jobs into the store, listed in pages of `page_rows`. Returns the id of the
 /// last one.
@@ -123,7 +126,6 @@
 /// announcement that the store refused; it cannot become the leader before that.
 #[tokio::test]
 async fn a_refused_announcement_is_repeated_without_waiting_for_a_change() {
-    const MAX_WAIT_MS: u64 = 3_000;
     let (site, addresses) = site::start(1);
     lock(&site).store_conditions.choose_fault = Some(Box::new(refuse_the_first_announcement()));
     let mut controllers = ControllerProcesses::new("announcement", &addresses, None);
@@ -138,7 +140,10 @@
         .take_while(|request| !is_announcement(request))
         .filter_map(StoreRequest::watch_wait_ms);
     let longest_wait = waits.max();
-    assert!(longest_wait <= Some(MAX_WAIT_MS), "{longest_wait:?} ms");
+    assert!(
+        longest_wait <= Some(MAX_ANNOUNCEMENT_WAIT_MS),
+        "{longest_wait:?} ms"
+    );
 }
 
 /// Guards against controllers that restart together and never read all records, because their listings use up the
@@ -176,3 +181,43 @@
         "listings exceed their share of the request rate: {refused_pages:?}"
     );
 }
+
+/// Guards against watches that the store refuses because of the request rate and that are repeated faster than the
+/// controllers' share of that rate allows.
+#[tokio::test]
+async fn refused_watches_are_repeated_within_the_share_of_the_request_rate() {
+    const REQUESTS_PER_SECOND: f64 = 10.0;
+    // The share of a watch is one in two seconds here, with a jitter of half of that.
+    const MIN_PAUSE: Duration = Duration::from_secs(1);
+    const PAUSES: u32 = 4;
+    let (site, addresses) = site::start(3);
+    let refusals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let refusals_seen = refusals.clone();
+    let refuse_watches = move |request: &StoreRequest| {
+        // Watches before the announcement are shorter.
+        request
+            .watch_wait_ms()
+            .filter(|wait_ms| *wait_ms > MAX_ANNOUNCEMENT_WAIT_MS)?;
+        refusals_seen.lock().expect("no panic").push(Instant::now());
+        Some(StoreFault::Status(429))
+    };
+    lock(&site).store_conditions.choose_fault = Some(Box::new(refuse_watches));
+    let mut controllers = ControllerProcesses::with_store_rate(
+        "refused-watches",
+        &addresses,
+        None,
+        REQUESTS_PER_SECOND,
+    );
+    controllers.start(0);
+    let started_at = Instant::now();
+    loop {
+        tokio::time::sleep(ATTEMPT_PAUSE).await;
+        let times = refusals.lock().expect("no panic").clone();
+        if let [first, _, _, _, fifth, ..] = times[..] {
+            let elapsed = fifth - first;
+            assert!(elapsed >= MIN_PAUSE * PAUSES, "five watches in {elapsed:?}");
+            return;
+        }
+        assert!(started_at.elapsed() < FORGOTTEN_AFTER, "too few watches");
+    }
+}
