Give up the leader's share of the request rate whenever the leadership has ended

What callers see: after a change of leader by a newer term the deposed leader goes on with half of the rate beside its successor, so that the shares add up to more than the rate.

Cause: the share was switched back only after a renewal of the lease. A leadership that ends elsewhere (a transaction that conflicts on the term, a newer term in the records) leaves no lease to renew.

Change: the task that holds the leadership sets the share in each of its rounds.

--- a/crates/saltpitch/src/leadership.rs
+++ b/crates/saltpitch/src/leadership.rs
@@ -30,6 +30,8 @@
 pub async fn hold_leadership(node: Arc<Node>) {
     let mut leaderless_since: Option<Micros> = None;
     loop {
+        // The leadership may have ended elsewhere, for example through a transaction that found a newer term.
+        node.store.set_leading(node.controller().is_leader());
         let store_lease = node.controller().store_lease();
         if let Some(store_lease) = store_lease {
             leaderless_since = None;
@@ -172,3 +174,6 @@
         node.pause(ELECTION_READ_PAUSE_MS).await;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/saltpitch/src/store.rs
+++ b/crates/saltpitch/src/store.rs
@@ -119,6 +119,12 @@
         lock(&self.rate_limits).set_role(role);
     }
 
+    /// Returns the role whose share of the rate limits is used.
+    #[cfg(test)]
+    pub fn role(&self) -> Role {
+        lock(&self.rate_limits).role()
+    }
+
     /// Returns the pause between two requests of a kind that may use this fraction of an equal share of
     /// the request rate.
     pub fn pace(&self, fraction: f64) -> Duration {
--- a/crates/saltpitch/src/store/rate_limits.rs
+++ b/crates/saltpitch/src/store/rate_limits.rs
@@ -89,6 +89,12 @@
         self.update_rates();
     }
 
+    /// Returns the role whose share is used.
+    #[cfg(test)]
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
     /// Recomputes the rates of both budgets. The leader may use half of the requests, and the followers
     /// share the rest. Changes that users request are few but come in bursts to any controller, so each
     /// controller may use all that the leader's scheduler leaves; the service itself refuses what
