Let a read of the latest records wait for the request budget instead of failing

What callers see: all questions that wait for it get 503 or are forwarded to every peer, a reload or an election begins again.

Cause: a read of the latest records failed at once when the budget was empty.

Evidence: a_read_waits_until_the_request_budget_allows_it fails on the commit before (over budget) and passes here.

--- a/crates/saltpitch/src/store.rs
+++ b/crates/saltpitch/src/store.rs
@@ -33,6 +33,8 @@
 /// open.
 const WATCH_GRACE: Duration = Duration::from_millis(1_500);
 const LEASE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a read waits for the request budget before it fails.
+const MAX_READ_WAIT: Micros = Micros::from_millis(300);
 /// Bounds of the time after which a delayed request looks at the request budget again.
 const MIN_BUDGET_WAIT: Duration = Duration::from_millis(5);
 const MAX_BUDGET_WAIT: Duration = Duration::from_millis(250);
@@ -147,6 +149,24 @@
         lock(&self.rate_limits).try_changes(changes, self.clock.now())
     }
 
+    /// Takes one request from the request budget, and waits for it for up to [`MAX_READ_WAIT`]. Returns false if the
+    /// budget is exhausted for longer.
+    async fn wait_for_request(&self) -> bool {
+        let deadline = self.clock.now().plus(MAX_READ_WAIT);
+        loop {
+            let now = self.clock.now();
+            let ready_at = match lock(&self.rate_limits).try_request_or_ready_at(now) {
+                Ok(()) => return true,
+                Err(ready_at) => ready_at,
+            };
+            if ready_at > deadline {
+                return false;
+            }
+            let wait = Duration::from_micros(ready_at.since(now).0);
+            tokio::time::sleep(wait.max(MIN_BUDGET_WAIT)).await;
+        }
+    }
+
     /// Waits until the request budget allows a request that may be delayed, and takes it.
     async fn background_request(&self) {
         let waiting_since = self.clock.now();
@@ -215,11 +235,12 @@
     }
 
     /// Reads the changes after a revision, and waits up to `wait` for the first one. The caller must
-    /// pace watches that wait, since they are sent even if the request budget is exhausted.
+    /// pace watches that wait, since they are sent even if the request budget is exhausted. A watch with a `wait`
+    /// of zero is sent once the budget allows it.
     pub async fn watch(&self, from: u64, wait: Duration) -> Result<Changes, ReadError> {
         if !wait.is_zero() {
             self.spend_request();
-        } else if !self.try_request() {
+        } else if !self.wait_for_request().await {
             return Err(ReadError::OverBudget);
         }
         let wait_ms = wait.as_millis();
--- a/crates/saltpitch/src/store/rate_limits.rs
+++ b/crates/saltpitch/src/store/rate_limits.rs
@@ -132,6 +132,14 @@
         self.requests.try_spend(1.0, now)
     }
 
+    /// Takes one request from the request budget, or returns when the budget will allow it.
+    pub fn try_request_or_ready_at(&mut self, now: Micros) -> Result<(), Micros> {
+        if self.try_request(now) {
+            return Ok(());
+        }
+        Err(self.requests.ready_at(1.0))
+    }
+
     /// Takes one request that must not be delayed from the request budget, even if the budget is exhausted: other
     /// requests then wait until it is refilled.
     pub fn spend_request(&mut self, now: Micros) {
--- a/crates/saltpitch/src/store/tests.rs
+++ b/crates/saltpitch/src/store/tests.rs
@@ -49,3 +49,12 @@
     let read = client.watch(1, Duration::ZERO).await;
     assert!(matches!(read, Err(ReadError::OverBudget)));
 }
+
+/// Guards against questions that fail because the read for which they wait comes a few milliseconds before the request
+/// budget allows it.
+#[tokio::test]
+async fn a_read_waits_until_the_request_budget_allows_it() {
+    let (client, _) = start_service(r#"{"ledger_no":1,"news":[]}"#).await;
+    while client.try_request() {}
+    assert!(client.watch(1, Duration::ZERO).await.is_ok());
+}
