--- a/crates/saltpitch/src/record_sync.rs
+++ b/crates/saltpitch/src/record_sync.rs
@@ -1,35 +1,20 @@
 //! Keeps the controller's copy of the records in the state service up to date.
 
+mod follower;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use saltpitch_core::records::{node_key, RecordChange, RecordError};
-use saltpitch_core::scheduler::{Precondition, Transaction, TransactionOutcome};
+use saltpitch_core::records::RecordChange;
 use serde_json::value::RawValue;
 
-use crate::backoff::Backoff;
+pub use self::follower::follow_changes;
 use crate::node::Node;
-use crate::store::{Listing, ListingError, ReadError};
 
-/// How long the state service may hold a watch open until there is a change.
-const WATCH_WAIT: Duration = Duration::from_secs(8);
 /// How long a request waits for the latest records before it fails.
 const FRESH_READ_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// After each run of this many consecutive failed watches, all records are listed again.
-const FAILED_WATCHES_BEFORE_LISTING: u32 = 5;
-/// The fractions of an equal share of the state service's request rate that watches and fresh reads use.
-const WATCH_SHARE: f64 = 0.12;
+/// The fraction of an equal share of the state service's request rate that fresh reads use.
 const FRESH_READ_SHARE: f64 = 0.3;
-const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Mean pauses before the next attempt, in milliseconds. The jitter is half of each in each direction.
-const FAILED_READ_PAUSE_MS: u64 = 400;
-const POST_LISTING_PAUSE_MS: u64 = 200;
-/// Mean pauses before a listing that was interrupted continues: the first one, and the longest.
-const FIRST_LISTING_PAUSE: Duration = Duration::from_millis(200);
-const MAX_LISTING_PAUSE: Duration = Duration::from_secs(2);
-/// The same for an announcement that was not committed.
-const FIRST_ANNOUNCEMENT_PAUSE: Duration = Duration::from_millis(300);
-const MAX_ANNOUNCEMENT_PAUSE: Duration = Duration::from_secs(2);
 
 impl Node {
     /// Waits until the records in memory are at least as new as this call. Returns false if the state
@@ -56,163 +41,6 @@
     }
 }
 
-/// Announces this process and follows the changes of the records, with one watch at a time. Never
-/// returns.
-pub async fn follow_changes(node: Arc<Node>) {
-    let mut follower = RecordFollower::new(node);
-    loop {
-        follower.step().await;
-    }
-}
-
-/// The task that keeps the records in memory up to date. It alone lists the records, so that a controller never has
-/// two listings under way.
-struct RecordFollower {
-    node: Arc<Node>,
-    /// The listing under way, if one was interrupted and is still needed.
-    listing: Option<Listing>,
-    listing_backoff: Backoff,
-    announcement_backoff: Backoff,
-    /// The number of consecutive failed watches.
-    failed_watches: u32,
-}
-
-impl RecordFollower {
-    fn new(node: Arc<Node>) -> RecordFollower {
-        RecordFollower {
-            node,
-            listing: None,
-            listing_backoff: Backoff::new(FIRST_LISTING_PAUSE, MAX_LISTING_PAUSE),
-            announcement_backoff: Backoff::new(FIRST_ANNOUNCEMENT_PAUSE, MAX_ANNOUNCEMENT_PAUSE),
-            failed_watches: 0,
-        }
-    }
-
-    async fn step(&mut self) {
-        if !self.node.controller().is_synced() {
-            self.list_until_replaced().await;
-        }
-        if !self.node.controller().is_announced() {
-            announce(&self.node).await;
-        }
-        let wait = self.next_watch_wait();
-        self.watch_once(wait).await;
-    }
-
-    /// Returns how long the next watch may wait for a change. Until this process is announced, the watch is also the
-    /// pause before the next announcement.
-    fn next_watch_wait(&mut self) -> Duration {
-        if self.node.controller().is_announced() {
-            self.announcement_backoff.reset();
-            return WATCH_WAIT;
-        }
-        self.announcement_backoff.next_pause(self.node.random())
-    }
-
-    /// Runs one watch and applies its changes.
-    async fn watch_once(&mut self, wait: Duration) {
-        let node = self.node.clone();
-        let from_revision = node.controller().records().revision;
-        match node.store.watch(from_revision, wait).await {
-            Ok(changes) => {
-                self.failed_watches = 0;
-                // The records in memory are up to date again without the listing.
-                self.listing = None;
-                apply_changes(&node, from_revision, changes.changes, changes.revision);
-                // Each watch counts towards the service's request rate.
-                tokio::time::sleep(node.store.pace(WATCH_SHARE)).await;
-            }
-            Err(ReadError::RevisionTooOld) => {
-                self.list_until_replaced().await;
-                node.pause(POST_LISTING_PAUSE_MS).await;
-            }
-            Err(_) => {
-                // A refused watch counts towards the service's request rate, too.
-                let share_pause_ms = node.store.pace(WATCH_SHARE).as_millis() as u64;
-                node.pause(FAILED_READ_PAUSE_MS.max(share_pause_ms)).await;
-                self.failed_watches += 1;
-                // After a long disconnection there may be too many changes for one response, whereas a
-                // listing is read in pages.
-                if self
-                    .failed_watches
-                    .is_multiple_of(FAILED_WATCHES_BEFORE_LISTING)
-                {
-                    self.continue_listing().await;
-                }
-            }
-        }
-    }
-
-    /// Lists the records until those in memory are replaced.
-    async fn list_until_replaced(&mut self) {
-        while !self.continue_listing().await {
-            let pause = self.listing_backoff.next_pause(self.node.random());
-            tokio::time::sleep(pause).await;
-        }
-    }
-
-    /// Begins a listing of all records, or continues the one under way, and replaces the records in memory at its
-    /// end. Returns false if a request failed, or if the records have the layout of an earlier version.
-    async fn continue_listing(&mut self) -> bool {
-        let clock = self.node.clock;
-        let mut listing = self
-            .listing
-            .take()
-            .unwrap_or_else(|| Listing::new(clock, log_unreadable));
-        let pages_before = listing.page_count();
-        let result = listing.read_to_end(&self.node.store).await;
-        let Err(error) = result else {
-            return self.replace_records(listing);
-        };
-        log_interruption(&listing, &error);
-        if listing.page_count() > pages_before {
-            self.listing_backoff.reset();
-        }
-        if let ListingError::Interrupted(_) = error {
-            self.listing = Some(listing);
-        }
-        false
-    }
-
-    fn replace_records(&mut self, listing: Listing) -> bool {
-        let node = &self.node;
-        tracing::info!(
-            "store: {} records listed, {} pages in {:.1} s",
-            listing.record_count(),
-            listing.page_count(),
-            listing.elapsed().as_secs_f64()
-        );
-        let (now, wall) = (node.now(), node.clock.wall_time());
-        let replaced = node
-            .controller()
-            .replace_records(listing.into_records(), now, wall);
-        if let Err(error) = replaced {
-            tracing::error!("{error}");
-            return false;
-        }
-        node.scheduler_wakeup.notify_one();
-        self.listing_backoff.reset();
-        true
-    }
-}
-
-fn log_unreadable(key: &str, error: &RecordError) {
-    tracing::error!("record {key} is unreadable and was skipped: {error}");
-}
-
-fn log_interruption(listing: &Listing, error: &ListingError) {
-    let next_step = match error {
-        ListingError::Interrupted(_) => "it continues there",
-        ListingError::Outdated(_) => "a new one begins",
-    };
-    tracing::info!(
-        "store: listing of the records stopped after {} pages, {} records and {:.1} s, {next_step}: {error}",
-        listing.page_count(),
-        listing.record_count(),
-        listing.elapsed().as_secs_f64()
-    );
-}
-
 /// Applies the changes after `from_revision` up to `last_revision`, and wakes the scheduler's task if a
 /// job has changed and this node leads.
 fn apply_changes(node: &Node, from_revision: u64, changes: Vec<RecordChange>, last_revision: u64) {
@@ -224,26 +52,6 @@
     }
 }
 
-/// Writes this process's incarnation to the state service, once.
-async fn announce(node: &Node) {
-    let Some(announcement) = node.controller().announcement() else {
-        return;
-    };
-    let key = node_key(&node.settings.node);
-    let transaction = Transaction {
-        preconditions: vec![Precondition::new(key, announcement.expected_revision)],
-        writes: vec![announcement.write],
-    };
-    let outcome = node.store.commit(&transaction, ANNOUNCEMENT_TIMEOUT).await;
-    let is_written = matches!(outcome, TransactionOutcome::Committed(_));
-    // If the response was lost, the latest records show whether the write was committed.
-    if !is_written && !node.read_latest_records().await {
-        return;
-    }
-    node.controller()
-        .confirm_announcement(announcement.incarnation, is_written);
-}
-
 /// Reads the latest changes whenever a request waits for them. Never returns.
 pub async fn serve_fresh_reads(node: Arc<Node>) {
     let reads = &node.fresh_reads;
--- a/crates/saltpitch/src/store.rs
+++ b/crates/saltpitch/src/store.rs
@@ -2,86 +2,39 @@
 //! controller's share of the service's rate limits.
 
 mod health;
+mod leases;
 mod listing;
 mod rate_limits;
+mod reads;
+mod transactions;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use hyper::Method;
-use saltpitch_core::records::PREFIX;
-use saltpitch_core::scheduler::{Precondition, Transaction, TransactionOutcome, Write};
 use saltpitch_core::Micros;
 
 use self::health::Health;
-pub use self::listing::{Listing, ListingError};
-pub use self::rate_limits::Role;
 use self::rate_limits::{RateLimits, Rates};
 use crate::clock::Clock;
 use crate::http::{CallError, Client, Reply};
 use crate::mutex::lock;
 use crate::settings::StoreLimits;
-use crate::wire::store as wire;
-pub use crate::wire::store::{Changes, LeaseAttachment, Page};
-use crate::wire::DecodeError;
 
-/// The number of records requested per page of a listing.
-const PAGE_SIZE: usize = 1_000;
-const LIST_TIMEOUT: Duration = Duration::from_secs(3);
-/// The time that the response to a watch may take beyond the time for which the service may hold it
-/// open.
-const WATCH_GRACE: Duration = Duration::from_millis(1_500);
-const LEASE_TIMEOUT: Duration = Duration::from_secs(1);
+pub use self::leases::KeepAlive;
+pub use self::listing::{Listing, ListingError};
+pub use self::rate_limits::Role;
+pub use self::reads::ReadError;
+pub use self::transactions::conditional_write;
+pub use crate::wire::store::LeaseAttachment;
+
 /// How long a read waits for the request budget before it fails.
 const MAX_READ_WAIT: Micros = Micros::from_millis(300);
 /// Bounds of the time after which a delayed request looks at the request budget again.
 const MIN_BUDGET_WAIT: Duration = Duration::from_millis(5);
 const MAX_BUDGET_WAIT: Duration = Duration::from_millis(250);
 
-/// Why records or changes could not be read.
-#[derive(Debug, thiserror::Error)]
-pub enum ReadError {
-    /// This controller's request budget is exhausted; nothing was sent.
-    #[error("the request budget is exhausted")]
-    OverBudget,
-    /// The request was not sent, or there was no response in time.
-    #[error("no response ({0:?})")]
-    NoResponse(CallError),
-    /// The service responded with an error, for example 429 above its rate limit.
-    #[error("status {0}")]
-    Status(u16),
-    /// The revision is older than the service's history, so all records must be listed again.
-    #[error("the revision is older than the history of changes")]
-    RevisionTooOld,
-    /// The response cannot be decoded.
-    #[error("unreadable response: {0}")]
-    Unreadable(#[from] DecodeError),
-}
-
-/// The outcome of a renewal of the leadership lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum KeepAlive {
-    /// The lease is renewed.
-    Renewed,
-    /// The lease has expired.
-    Expired,
-    /// The service did not respond, or with an unexpected status: the lease may or may not be renewed.
-    Unknown,
-}
-
-/// Returns a transaction that writes one record if the record still has the given revision. Revision 0
-/// requires that the record does not exist yet.
-pub fn conditional_write(key: &str, value: &str, revision: u64) -> Transaction {
-    Transaction {
-        preconditions: vec![Precondition::new(key, revision)],
-        writes: vec![Write {
-            key: key.to_owned(),
-            value: Some(value.to_owned()),
-        }],
-    }
-}
-
 /// The client of the state service.
 pub struct StoreClient {
     http: Arc<Client>,
@@ -213,172 +166,6 @@
         lock(&self.health).record(served, self.clock.now());
         result
     }
-
-    /// Reads the page of records that follow the key `after`, or the first page if `after` is empty. All records
-    /// together may exceed the memory of this process. A page waits for the request budget, part of which it
-    /// leaves to other requests.
-    pub async fn list_page(&self, after: &str) -> Result<Page, ReadError> {
-        self.background_request().await;
-        let path = if after.is_empty() {
-            format!("/store?starts={PREFIX}&page={PAGE_SIZE}")
-        } else {
-            format!("/store?starts={PREFIX}&from={after}&page={PAGE_SIZE}")
-        };
-        let reply = self
-            .call(Method::GET, &path, Vec::new(), LIST_TIMEOUT)
-            .await
-            .map_err(ReadError::NoResponse)?;
-        match reply.status {
-            200 => Ok(wire::decode_page(&reply.body)?),
-            status => Err(ReadError::Status(status)),
-        }
-    }
-
-    /// Reads the changes after a revision, and waits up to `wait` for the first one. The caller must
-    /// pace watches that wait, since they are sent even if the request budget is exhausted. A watch with a `wait`
-    /// of zero is sent once the budget allows it.
-    pub async fn watch(&self, from: u64, wait: Duration) -> Result<Changes, ReadError> {
-        if !wait.is_zero() {
-            self.spend_request();
-        } else if !self.wait_for_request().await {
-            return Err(ReadError::OverBudget);
-        }
-        let wait_ms = wait.as_millis();
-        let path = format!("/watch?starts={PREFIX}&from={from}&wait_ms={wait_ms}");
-        let reply = self
-            .call(Method::GET, &path, Vec::new(), wait + WATCH_GRACE)
-            .await
-            .map_err(ReadError::NoResponse)?;
-        match reply.status {
-            200 => decode_changes(&reply),
-            410 => Err(ReadError::RevisionTooOld),
-            status => Err(ReadError::Status(status)),
-        }
-    }
-
-    /// Commits a transaction within this controller's budgets of requests and changes.
-    pub async fn commit(&self, transaction: &Transaction, timeout: Duration) -> TransactionOutcome {
-        self.commit_with_lease(transaction, None, timeout).await
-    }
-
-    /// Commits a transaction within this controller's budgets of requests and changes. With `lease`, the
-    /// service deletes the attached key when the lease ends.
-    pub async fn commit_with_lease(
-        &self,
-        transaction: &Transaction,
-        lease: Option<LeaseAttachment<'_>>,
-        timeout: Duration,
-    ) -> TransactionOutcome {
-        if !self.try_changes(transaction.writes.len()) {
-            return TransactionOutcome::Unavailable;
-        }
-        self.send_transaction(transaction, lease, timeout).await
-    }
-
-    /// Commits a transaction of the leader's scheduler. It is only taken from the request budget,
-    /// because the scheduler paces its changes itself.
-    pub async fn commit_as_leader(
-        &self,
-        transaction: &Transaction,
-        timeout: Duration,
-    ) -> TransactionOutcome {
-        if !self.try_request() {
-            return TransactionOutcome::Unavailable;
-        }
-        self.send_transaction(transaction, None, timeout).await
-    }
-
-    async fn send_transaction(
-        &self,
-        transaction: &Transaction,
-        lease: Option<LeaseAttachment<'_>>,
-        timeout: Duration,
-    ) -> TransactionOutcome {
-        let body = wire::encode_transaction(transaction, lease);
-        match self.call(Method::POST, "/txn", body, timeout).await {
-            Ok(reply) => self.transaction_outcome(transaction, &reply),
-            Err(CallError::NotSent) => TransactionOutcome::Unavailable,
-            Err(CallError::Unknown) => TransactionOutcome::Unknown,
-        }
-    }
-
-    fn transaction_outcome(&self, transaction: &Transaction, reply: &Reply) -> TransactionOutcome {
-        match reply.status {
-            200 => wire::decode_transaction_reply(&reply.body)
-                .map_or(TransactionOutcome::Unknown, |decoded| {
-                    TransactionOutcome::Committed(decoded.revision)
-                }),
-            409 => wire::decode_transaction_reply(&reply.body)
-                .map_or(TransactionOutcome::Unknown, |decoded| {
-                    TransactionOutcome::Conflict(decoded.failed_keys)
-                }),
-            429 => {
-                self.record_refusal();
-                TransactionOutcome::RateLimited
-            }
-            503 => TransactionOutcome::Unavailable,
-            400 => {
-                tracing::error!(
-                    "store: a transaction of {} writes was turned down: {}",
-                    transaction.writes.len(),
-                    String::from_utf8_lossy(&reply.body)
-                );
-                TransactionOutcome::TooLarge
-            }
-            status => {
-                tracing::error!(
-                    "store: unexpected status {status} for a transaction, its outcome is unknown: {}",
-                    String::from_utf8_lossy(&reply.body)
-                );
-                TransactionOutcome::Unknown
-            }
-        }
-    }
-
-    /// Requests a lease that expires unless it is renewed within `ttl`. Returns its id.
-    pub async fn grant_lease(&self, ttl: Micros) -> Option<u64> {
-        self.spend_request();
-        let body = wire::encode_grant_lease(ttl.0 / 1_000);
-        let reply = self
-            .call(Method::POST, "/holds", body, LEASE_TIMEOUT)
-            .await
-            .ok()?;
-        if reply.status != 200 {
-            return None;
-        }
-        wire::decode_lease(&reply.body).ok()
-    }
-
-    /// Renews a lease.
-    pub async fn keep_alive(&self, lease: u64) -> KeepAlive {
-        self.spend_request();
-        let path = format!("/holds/{lease}/touch");
-        let reply = self
-            .call(Method::POST, &path, Vec::new(), LEASE_TIMEOUT)
-            .await;
-        match reply.map(|reply| reply.status) {
-            Ok(200) => KeepAlive::Renewed,
-            Ok(404) => KeepAlive::Expired,
-            _ => KeepAlive::Unknown,
-        }
-    }
-
-    /// Revokes a lease, which deletes the key attached to it. If the request fails, the lease expires
-    /// after its time to live.
-    pub async fn revoke_lease(&self, lease: u64) {
-        self.spend_request();
-        let path = format!("/holds/{lease}");
-        let _ = self
-            .call(Method::DELETE, &path, Vec::new(), LEASE_TIMEOUT)
-            .await;
-    }
-}
-
-fn decode_changes(reply: &Reply) -> Result<Changes, ReadError> {
-    wire::decode_changes(&reply.body).map_err(|error| {
-        tracing::error!("store: unreadable changes, treating the watch as failed: {error}");
-        ReadError::Unreadable(error)
-    })
 }
 
 #[cfg(test)]
