--- a/crates/saltpitch/tests/end_to_end/restart.rs
+++ b/crates/saltpitch/tests/end_to_end/restart.rs
@@ -1,4 +1,4 @@
-//! Tests of controllers that read many records when they start.
+//! Tests of processes that read many records when they start, and of refusals by the store at that time.
 
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -105,6 +105,21 @@
     );
 }
 
+/// Guards against an operator's command that gives up because the store refuses one page while controllers use up the
+/// request rate.
+#[tokio::test]
+async fn the_cells_command_continues_at_the_page_that_was_refused() {
+    let (site, addresses) = site::start(1);
+    add_completed_jobs(&site, 100, 10);
+    lock(&site).store_conditions.choose_fault = Some(Box::new(fault_on_every_other_page()));
+    let controllers = ControllerProcesses::new("command", &addresses, None);
+    let result = controllers.run_cells_command(&["list"]).await;
+    assert_eq!(result.exit_code, Some(0), "{result:?}");
+    let pages = requested_pages(&site);
+    let first_pages = pages.iter().filter(|page| page.is_empty());
+    assert_eq!(first_pages.count(), 1, "{pages:?}");
+}
+
 /// Returns whether a request announces the process of controller 0.
 fn is_announcement(request: &StoreRequest) -> bool {
     request.writes_key(&node_key("n0"))
