Let controllers that start without a leader share the whole rate of the state service

What callers see: after a crash of all controllers each reads the records within a follower's share, although nobody uses the leader's half: 10 pages a second with five controllers at 90 requests a second.

Change: a controller that has not read the records, hears from a peer and hears of no leader takes an equal part of nine tenths of the rate; once a peer leads, or while it hears from nobody, a follower's share. The unit test of the shares covers it for 1 to 7 controllers, a core test says when a controller may conclude that nobody leads.

--- a/crates/saltpitch-core/src/controller/peer_heartbeats.rs
+++ b/crates/saltpitch-core/src/controller/peer_heartbeats.rs
@@ -169,6 +169,17 @@
         peer.is_alive(now).then_some(peer.status.node.as_str())
     }
 
+    /// Returns whether no controller leads as far as this one can tell: it hears from a peer, and none of those that
+    /// it hears from leads. Without a live peer it cannot tell, unless it is the only controller.
+    pub fn sees_no_leader(&self, now: Micros) -> bool {
+        if self.is_leader() {
+            return false;
+        }
+        let mut live_peers = self.peers.values().filter(|p| p.is_alive(now)).peekable();
+        let can_tell = live_peers.peek().is_some() || self.config.peers.is_empty();
+        can_tell && live_peers.all(|p| !p.status.is_leader)
+    }
+
     /// Returns the zones of the peers that answered a request within [`ZONE_TIMEOUT`], and this controller's
     /// own zone.
     pub(super) fn reachable_zones(&self, now: Micros) -> BTreeSet<String> {
--- a/crates/saltpitch-core/tests/controller.rs
+++ b/crates/saltpitch-core/tests/controller.rs
@@ -107,6 +107,24 @@
     scheduler.reachable_zones().iter().cloned().collect()
 }
 
+/// Guards against a controller that takes the leader's share of a rate limit beside a leader that it could have heard of.
+#[test]
+fn a_controller_sees_no_leader_only_while_it_hears_from_peers_that_do_not_lead() {
+    let mut controller = controller(&[]);
+    assert!(!controller.sees_no_leader(START), "it hears from nobody");
+    controller.peer_heartbeat_received(status_of_peer(), STORE_UNREACHABLE, START);
+    assert!(controller.sees_no_leader(START));
+    let status_of_leader = PeerStatus {
+        is_leader: true,
+        ..status_of_peer()
+    };
+    controller.peer_heartbeat_received(status_of_leader, STORE_UNREACHABLE, START);
+    assert!(!controller.sees_no_leader(START), "its peer leads");
+    let later = START.plus(secs(60));
+    assert!(!controller.sees_no_leader(later), "the status is too old");
+    assert!(!leader().sees_no_leader(START), "it leads itself");
+}
+
 /// A process that was paused reads messages late that have waited in its sockets. An answer therefore counts from
 /// the time of its request, and a peer's own heartbeat proves nothing about the present.
 #[test]
--- a/crates/saltpitch/src/leadership.rs
+++ b/crates/saltpitch/src/leadership.rs
@@ -10,7 +10,7 @@
 use saltpitch_core::Micros;
 
 use crate::node::Node;
-use crate::store::{KeepAlive, LeaseAttachment};
+use crate::store::{KeepAlive, LeaseAttachment, Role};
 
 /// The pause between the end of one renewal of the leadership lease and the next renewal.
 const RENEWAL_PAUSE: Duration = Duration::from_millis(600);
@@ -31,7 +31,7 @@
     let mut leaderless_since: Option<Micros> = None;
     loop {
         // The leadership may have ended elsewhere, for example through a transaction that found a newer term.
-        node.store.set_leading(node.controller().is_leader());
+        node.store.set_role(store_role(&node));
         let store_lease = node.controller().store_lease();
         if let Some(store_lease) = store_lease {
             leaderless_since = None;
@@ -56,7 +56,20 @@
     if node.controller().should_resign(now) {
         resign(node).await;
     }
-    node.store.set_leading(node.controller().is_leader());
+    node.store.set_role(store_role(node));
+}
+
+/// Returns the role on which this controller's share of the state service's rate depends.
+fn store_role(node: &Node) -> Role {
+    let now = node.now();
+    let controller = node.controller();
+    if controller.is_leader() {
+        Role::Leader
+    } else if !controller.is_synced() && controller.sees_no_leader(now) {
+        Role::Starting
+    } else {
+        Role::Follower
+    }
 }
 
 /// Returns whether to stand for election now. `leaderless_since` is the time since which every check has
@@ -119,7 +132,7 @@
     };
     let lease_granted_at = node.now();
     if campaign(node, store_lease, lease_granted_at).await {
-        node.store.set_leading(true);
+        node.store.set_role(Role::Leader);
         node.scheduler_wakeup.notify_one();
         return true;
     }
--- a/crates/saltpitch/src/store.rs
+++ b/crates/saltpitch/src/store.rs
@@ -64,13 +64,8 @@
         }
     }
 
-    /// Switches to the leader's or to a follower's share of the rate limits.
-    pub fn set_leading(&self, is_leader: bool) {
-        let role = if is_leader {
-            Role::Leader
-        } else {
-            Role::Follower
-        };
+    /// Switches to the share of another role.
+    pub fn set_role(&self, role: Role) {
         lock(&self.rate_limits).set_role(role);
     }
 
--- a/crates/saltpitch/src/store/rate_limits.rs
+++ b/crates/saltpitch/src/store/rate_limits.rs
@@ -18,6 +18,8 @@
 const ONLY_CONTROLLER_SHARE: f64 = 0.9;
 const LEADER_SHARE: f64 = 0.5;
 const FOLLOWERS_SHARE: f64 = 0.45;
+/// The share of all controllers together while there is no leader, which each divides by their number.
+const LEADERLESS_SHARE: f64 = 0.9;
 /// The share of an operator's command, which is what the controllers leave.
 const COMMAND_SHARE: f64 = 0.05;
 
@@ -48,6 +50,8 @@
     Leader,
     /// Another controller.
     Follower,
+    /// A controller that reads the records after its start while there is no leader.
+    Starting,
     /// A command that an operator runs beside the controllers.
     Command,
 }
@@ -104,6 +108,7 @@
             (Role::Command, _) => COMMAND_SHARE,
             (_, 1) => ONLY_CONTROLLER_SHARE,
             (Role::Leader, _) => LEADER_SHARE,
+            (Role::Starting, controller_count) => LEADERLESS_SHARE / controller_count as f64,
             (Role::Follower, controller_count) => FOLLOWERS_SHARE / (controller_count - 1) as f64,
         };
         let rates = self.rates();
--- a/crates/saltpitch/src/store/rate_limits/tests.rs
+++ b/crates/saltpitch/src/store/rate_limits/tests.rs
@@ -92,6 +92,12 @@
         let followers = (controller_count - 1) as f64;
         let total = rate(Role::Leader) + followers * rate(Role::Follower) + rate(Role::Command);
         assert!(total <= limits().rps, "{controller_count}: {total}");
+        let share_without_leader = rate(Role::Starting).max(rate(Role::Follower));
+        let total = controller_count as f64 * share_without_leader + rate(Role::Command);
+        assert!(
+            total <= limits().rps,
+            "{controller_count}, no leader: {total}"
+        );
     }
 }
 
