--- a/crates/saltpitch/src/record_sync/follower.rs
+++ b/crates/saltpitch/src/record_sync/follower.rs
@@ -43,6 +43,8 @@
     node: Arc<Node>,
     /// The listing under way, if one was interrupted and is still needed.
     listing: Option<Listing>,
+    /// Whether the log says that the listing under way was interrupted after its last page.
+    is_interruption_logged: bool,
     listing_backoff: Backoff,
     announcement_backoff: Backoff,
     /// The number of consecutive failed watches.
@@ -54,6 +56,7 @@
         RecordFollower {
             node,
             listing: None,
+            is_interruption_logged: false,
             listing_backoff: Backoff::new(FIRST_LISTING_PAUSE, MAX_LISTING_PAUSE),
             announcement_backoff: Backoff::new(FIRST_ANNOUNCEMENT_PAUSE, MAX_ANNOUNCEMENT_PAUSE),
             failed_watches: 0,
@@ -90,6 +93,7 @@
                 self.failed_watches = 0;
                 // The records in memory are up to date again without the listing.
                 self.listing = None;
+                self.is_interruption_logged = false;
                 apply_changes(&node, from_revision, changes.changes, changes.revision);
                 // Each watch counts towards the service's request rate.
                 tokio::time::sleep(node.store.pace(WATCH_SHARE)).await;
@@ -136,12 +140,22 @@
         let Err(error) = result else {
             return self.replace_records(listing);
         };
-        log_interruption(&listing, &error);
         if listing.page_count() > pages_before {
             self.listing_backoff.reset();
+            self.is_interruption_logged = false;
         }
-        if let ListingError::Interrupted(_) = error {
-            self.listing = Some(listing);
+        // An outage would otherwise add a line with each attempt.
+        let is_logged = std::mem::replace(&mut self.is_interruption_logged, true);
+        match error {
+            ListingError::Interrupted(reason) => {
+                if !is_logged {
+                    log_interruption(&listing, "it continues there", &reason);
+                }
+                self.listing = Some(listing);
+            }
+            ListingError::Outdated(reason) => {
+                log_interruption(&listing, "a new one begins", &reason);
+            }
         }
         false
     }
@@ -164,6 +178,7 @@
         }
         node.scheduler_wakeup.notify_one();
         self.listing_backoff.reset();
+        self.is_interruption_logged = false;
         true
     }
 }
@@ -172,13 +187,9 @@
     tracing::error!("record {key} is unreadable and was skipped: {error}");
 }
 
-fn log_interruption(listing: &Listing, error: &ListingError) {
-    let next_step = match error {
-        ListingError::Interrupted(_) => "it continues there",
-        ListingError::Outdated(_) => "a new one begins",
-    };
+fn log_interruption(listing: &Listing, next_step: &str, reason: &ReadError) {
     tracing::info!(
-        "store: listing of the records stopped after {} pages, {} records and {:.1} s, {next_step}: {error}",
+        "store: listing of the records stopped after {} pages, {} records and {:.1} s, {next_step}: {reason}",
         listing.page_count(),
         listing.record_count(),
         listing.elapsed().as_secs_f64()
