Switch the share of the store's rate only when the role changes, and log it at debug

The getter of the role was compiled for tests only and stood in the source; now the task that holds the leadership uses it. Behaviour is unchanged; clippy and the test of a deposed leader pass.

--- a/crates/saltpitch/src/leadership.rs
+++ b/crates/saltpitch/src/leadership.rs
@@ -31,7 +31,7 @@
     let mut leaderless_since: Option<Micros> = None;
     loop {
         // The leadership may have ended elsewhere, for example through a transaction that found a newer term.
-        node.store.set_role(store_role(&node));
+        update_store_role(&node);
         let store_lease = node.controller().store_lease();
         if let Some(store_lease) = store_lease {
             leaderless_since = None;
@@ -56,7 +56,16 @@
     if node.controller().should_resign(now) {
         resign(node).await;
     }
-    node.store.set_role(store_role(node));
+    update_store_role(node);
+}
+
+/// Switches to the share of the state service's rate that goes with this controller's present role.
+fn update_store_role(node: &Node) {
+    let role = store_role(node);
+    if node.store.role() != role {
+        tracing::debug!("the share of the store's rate is now that of the role {role:?}");
+        node.store.set_role(role);
+    }
 }
 
 /// Returns the role on which this controller's share of the state service's rate depends.
--- a/crates/saltpitch/src/store.rs
+++ b/crates/saltpitch/src/store.rs
@@ -70,7 +70,6 @@
     }
 
     /// Returns the role whose share of the rate limits is used.
-    #[cfg(test)]
     pub fn role(&self) -> Role {
         lock(&self.rate_limits).role()
     }
--- a/crates/saltpitch/src/store/rate_limits.rs
+++ b/crates/saltpitch/src/store/rate_limits.rs
@@ -94,7 +94,6 @@
     }
 
     /// Returns the role whose share is used.
-    #[cfg(test)]
     pub fn role(&self) -> Role {
         self.role
     }
