--- a/crates/saltpitch-cells/src/origin/writes.rs
+++ b/crates/saltpitch-cells/src/origin/writes.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use saltpitch_core::records::{job_key, JobRecord, RecordCache};
+use saltpitch_core::records::{job_key, JobRecord, RecordCache, RecordedJob};
 use saltpitch_core::scheduler::{Precondition, TransactionOutcome};
 use saltpitch_core::Micros;
 
@@ -36,6 +36,31 @@
     retry_at: Micros,
 }
 
+impl PendingWrite {
+    /// Returns whether the job's record has a later revision than the write expects. A job that had a record and is
+    /// not in memory has ended.
+    fn is_superseded(&self, records: &RecordCache) -> bool {
+        match records.job(&self.write.job) {
+            Some(job) => job.revision() > self.expected_revision,
+            None => {
+                !records.ended_jobs().is_complete() && records.revision > self.expected_revision
+            }
+        }
+    }
+
+    /// Returns whether the record in memory is the one of this write.
+    fn is_on_record(&self, records: &RecordCache) -> bool {
+        let record = &self.write.record;
+        match records.job(&self.write.job) {
+            Some(RecordedJob::Live(entry)) => entry.record == *record,
+            Some(RecordedJob::Ended(ended)) => {
+                *record == JobRecord::final_record(ended.state, ended.done_at)
+            }
+            None => false,
+        }
+    }
+}
+
 /// The certain outcome of a write.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettledWrite {
@@ -162,22 +187,15 @@
     /// Settles the writes of jobs whose records have a later revision than expected: a write that was applied
     /// is in the records, and no copy can be applied any more.
     pub fn settle_by_records(&mut self, records: &RecordCache) -> Vec<SettledWrite> {
-        let is_superseded = |pending: &&PendingWrite| {
-            let entry = records.jobs.get(&pending.write.job);
-            entry.is_some_and(|entry| entry.revision > pending.expected_revision)
-        };
-        let settled: Vec<SettledWrite> = self
+        let superseded = self
             .pending
             .values()
-            .filter(is_superseded)
-            .map(|pending| {
-                let job = &pending.write.job;
-                let record = records.jobs.get(job).map(|entry| &entry.record);
-                SettledWrite {
-                    job: job.clone(),
-                    transition: pending.transition,
-                    is_committed: record == Some(&pending.write.record),
-                }
+            .filter(|pending| pending.is_superseded(records));
+        let settled: Vec<SettledWrite> = superseded
+            .map(|pending| SettledWrite {
+                job: pending.write.job.clone(),
+                transition: pending.transition,
+                is_committed: pending.is_on_record(records),
             })
             .collect();
         for write in &settled {
--- a/crates/saltpitch-core/src/controller/mod.rs
+++ b/crates/saltpitch-core/src/controller/mod.rs
@@ -55,6 +55,8 @@
     pub scheduler: SchedulerConfig,
     /// Whether this controller supports the delegation of jobs to other cells.
     pub knows_delegations: bool,
+    /// How many recently ended jobs this controller keeps in memory.
+    pub max_ended_jobs: usize,
 }
 
 /// The recent availability of the state service to this process, as the store adapter observed it.
@@ -137,11 +139,11 @@
     /// and `process` is a random id.
     pub fn new(config: ControllerConfig, process: u64, incarnation: u64) -> Controller {
         Controller {
+            records: RecordCache::new(config.max_ended_jobs),
             config,
             process,
             incarnation,
             announced: false,
-            records: RecordCache::default(),
             synced: false,
             catalog: None,
             term_seen_at: Micros::ZERO,
--- a/crates/saltpitch-core/src/controller/record_sync.rs
+++ b/crates/saltpitch-core/src/controller/record_sync.rs
@@ -1,15 +1,22 @@
 //! Keeps the copy of the records up to date from the state service's changes and listings and from this
 //! process's own writes.
 
+use std::collections::BTreeSet;
+
 use crate::job::JobState;
 use crate::leadership::{ProcessIdentity, LEADERSHIP_LEASE};
-use crate::records::{node_key, Change, JobRecord, NodeRecord, RecordCache, RecordChange};
+use crate::records::{
+    job_id, job_key, node_key, Change, JobRead, JobRecord, NodeRecord, RecordCache, RecordChange,
+};
 use crate::scheduler::{Precondition, Write};
 use crate::time::Micros;
 
 use super::notice::EndedJob;
 use super::{Controller, Notice};
 
+/// The field of a job's specification with its dependencies, as the record has it.
+const DEPENDENCIES_FIELD: &str = "\"needs\"";
+
 /// The error for records of an older layout, with which this version must not serve.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the state service holds an earlier version's records: not serving")]
@@ -48,10 +55,62 @@
             }
         }
         self.records.revision = self.records.revision.max(upto);
-        self.records.cancellations.trim();
+        self.records.trim();
         job_changed
     }
 
+    /// Returns the ended jobs that new jobs in `changes` depend on and whose outcomes this controller no longer keeps,
+    /// without those in `reads`. Their records have to be read by their keys and passed to
+    /// [`Controller::apply_job_reads`] directly before the changes are applied. Otherwise the new jobs would wait
+    /// forever.
+    pub fn unknown_dependencies(
+        &self,
+        changes: &[RecordChange],
+        reads: &[JobRead],
+    ) -> BTreeSet<String> {
+        if self.records.ended_jobs().is_complete() {
+            return BTreeSet::new();
+        }
+        let values = changes.iter().filter(|change| {
+            change.revision > self.records.revision && job_id(&change.key).is_some()
+        });
+        let records = values.filter_map(|change| change.value.as_deref()?.get().into());
+        let dependencies = records.flat_map(active_dependencies);
+        dependencies
+            .filter(|id| {
+                self.records.job(id).is_none()
+                    && !reads.iter().any(|read| read.id == *id)
+                    && !changes
+                        .iter()
+                        .any(|change| job_id(&change.key) == Some(id.as_str()))
+            })
+            .collect()
+    }
+
+    /// Returns the ended jobs whose outcomes a new listing has to have before it replaces the copy, without those in
+    /// `reads`: dependencies of live jobs and, for a leader, jobs that its scheduler still has.
+    pub fn unknown_outcomes(&self, records: &RecordCache, reads: &[JobRead]) -> BTreeSet<String> {
+        let mut unknown = BTreeSet::from_iter(records.unknown_dependencies());
+        if self.is_leader() && !records.ended_jobs().is_complete() {
+            let live = self.records.jobs.keys();
+            unknown.extend(live.filter(|id| records.job(id).is_none()).cloned());
+        }
+        unknown.retain(|id| !reads.iter().any(|read| read.id == *id));
+        unknown
+    }
+
+    /// Adds the records of ended jobs that were read by their keys.
+    pub fn apply_job_reads(&mut self, reads: &[JobRead]) {
+        for read in reads {
+            if let Err(error) = self.records.put_job_read(read) {
+                self.notices.push(Notice::UnreadableRecord {
+                    key: job_key(&read.id),
+                    error,
+                });
+            }
+        }
+    }
+
     /// Applies a write of this process that the state service confirmed, without waiting until the state
     /// service reports the change.
     pub fn apply_own_write(&mut self, change: &RecordChange, now: Micros, wall: Micros) {
@@ -66,6 +125,9 @@
             Some(value) => match self.records.put(&change.key, value, change.revision) {
                 Ok(effect) => effect,
                 Err(error) => {
+                    if job_id(&change.key).is_some() {
+                        self.records.unreadable_job_found();
+                    }
                     self.notices.push(Notice::UnreadableRecord {
                         key: change.key.clone(),
                         error,
@@ -109,18 +171,25 @@
         if old.term.revision != self.records.term.revision {
             self.term_seen_at = now;
         }
+        let ended_meanwhile: Vec<String> = {
+            let live_before = old.jobs.keys();
+            let ended = live_before.filter(|id| !self.records.jobs.contains_key(*id));
+            ended.cloned().collect()
+        };
         self.records.carry_over_from(old);
         self.synced = true;
         self.last_cancellation_at = Some(now);
         self.adopt_recorded_catalog();
         self.check_recorded_term();
         if let Some(leadership) = &mut self.leadership {
-            for id in self.records.jobs.keys() {
+            for id in self.records.jobs.keys().chain(&ended_meanwhile) {
                 leadership
                     .scheduler
                     .job_changed(&self.records, id, now, wall);
             }
         }
+        self.records.set_max_ended_jobs(self.config.max_ended_jobs);
+        self.records.trim();
         Ok(())
     }
 
@@ -237,7 +306,7 @@
         let Some(leadership) = &self.leadership else {
             return;
         };
-        let Some(id) = crate::records::job_id(&change.key) else {
+        let Some(id) = job_id(&change.key) else {
             return;
         };
         let Some(old) = self.records.jobs.get(id) else {
@@ -268,3 +337,14 @@
         self.notices.push(Notice::JobEnded(end));
     }
 }
+
+/// Returns the dependencies of an active job's record. A record that cannot be read has none.
+fn active_dependencies(record: &str) -> Vec<String> {
+    // Few jobs depend on others, and reading a record takes much longer than this search.
+    if !record.contains(DEPENDENCIES_FIELD) {
+        return Vec::new();
+    }
+    let record = serde_json::from_str::<JobRecord>(record).ok();
+    let active = record.filter(|record| record.state == JobState::Active);
+    active.map_or_else(Vec::new, |record| record.dependencies().to_vec())
+}
--- a/crates/saltpitch-core/src/records/cancellations.rs
+++ b/crates/saltpitch-core/src/records/cancellations.rs
@@ -62,10 +62,11 @@
         self.entries.push_back(Cancellation { revision, id });
     }
 
-    /// Returns all entries, ordered by revision.
+    /// Returns all entries, ordered by revision. An entry that was added twice is returned once.
     pub(super) fn into_sorted(self) -> Vec<Cancellation> {
         let mut entries = Vec::from(self.entries);
         entries.sort_unstable();
+        entries.dedup();
         entries
     }
 
@@ -79,6 +80,31 @@
         }
     }
 
+    /// Drops the entries with the lowest revisions once there are more than twice `MAX_CANCELLATIONS`. In a listing, the
+    /// order of the entries is that of their keys and says nothing about their age.
+    pub(super) fn keep_highest_revisions(&mut self) {
+        if self.entries.len() <= 2 * MAX_CANCELLATIONS {
+            return;
+        }
+        let mut entries = Vec::from(std::mem::take(&mut self.entries));
+        entries.sort_unstable();
+        let excess = entries.len() - MAX_CANCELLATIONS;
+        for dropped in entries.drain(..excess) {
+            self.max_dropped_revision = self.max_dropped_revision.max(dropped.revision);
+        }
+        self.entries = VecDeque::from(entries);
+    }
+
+    /// Returns the highest revision of the entries that have been dropped.
+    pub(super) fn max_dropped_revision(&self) -> u64 {
+        self.max_dropped_revision
+    }
+
+    /// Notes that an entry of this revision is missing from the list.
+    pub(super) fn note_dropped(&mut self, revision: u64) {
+        self.max_dropped_revision = self.max_dropped_revision.max(revision);
+    }
+
     /// Returns the next page of cancellations that are missing from the leader's records, starting at its cursor.
     /// Returns `None` if a dropped entry may be missing from them.
     pub fn acknowledge(&self, process: u64, request: AckRequest) -> Option<CancellationAck> {
--- a/crates/saltpitch-core/src/records/mod.rs
+++ b/crates/saltpitch-core/src/records/mod.rs
@@ -5,6 +5,7 @@
 
 mod cancellations;
 mod delegation;
+mod ended_jobs;
 mod keys;
 mod record_cache;
 mod recorded_tasks;
@@ -16,11 +17,12 @@
 
 pub use cancellations::{AckCursor, CancellationAck, Cancellations};
 pub use delegation::{CancelStep, Delegation, DelegationState, Guest};
+pub use ended_jobs::{EndedJob, EndedJobs, DEFAULT_MAX_ENDED_JOBS};
 pub use keys::{
     checkpoint_key, job_id, job_key, machine_block_key, node_key, segment_key, CATALOG_KEY,
     LEADER_KEY, MACHINES_PER_BLOCK, PREFIX, TASKS_PER_CHECKPOINT, TERM_KEY,
 };
-pub use record_cache::{Change, JobEntry, RecordCache, RecordError};
+pub use record_cache::{Change, JobEntry, RecordCache, RecordError, RecordedJob};
 pub use recorded_tasks::{
     AllocatedMachine, Checkpoint, RecordedRange, RecordedSegment, TaskState, TaskStates,
 };
@@ -41,3 +43,12 @@
     /// The revision of the change.
     pub revision: u64,
 }
+
+/// The record of a job as it was read by its key.
+#[derive(Clone, Debug)]
+pub struct JobRead {
+    /// The job's id.
+    pub id: String,
+    /// The record and its revision; `None` if the job was never accepted.
+    pub record: Option<(Box<RawValue>, u64)>,
+}
--- a/crates/saltpitch-core/src/records/record_cache/carry_over.rs
+++ b/crates/saltpitch-core/src/records/record_cache/carry_over.rs
@@ -1,8 +1,8 @@
 //! Carries unrecorded state over from the previous copy of the records when the records are read again.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 
-use super::{JobEntry, RecordCache};
+use super::RecordCache;
 use crate::job::JobState;
 use crate::records::Cancellations;
 
@@ -17,7 +17,7 @@
             .map(str::to_owned)
             .collect();
         let old_cancellations = std::mem::take(&mut old.cancellations);
-        self.append_to_cancellations(old_cancellations, &old.jobs);
+        self.append_to_cancellations(old_cancellations, &old);
         self.returned_machines = old.returned_machines;
         self.images = old.images;
         for name in &returned {
@@ -28,16 +28,18 @@
     /// Appends the cancellations that are new in this copy to the old list, whose entries leaders refer to by
     /// position. Only the newest entries of a long list are kept. The new ones are therefore appended in the order of
     /// their revisions, not in that of their keys.
-    fn append_to_cancellations(
-        &mut self,
-        old: Cancellations,
-        old_jobs: &HashMap<String, JobEntry>,
-    ) {
-        let new = std::mem::replace(&mut self.cancellations, old);
+    fn append_to_cancellations(&mut self, old_cancellations: Cancellations, old: &RecordCache) {
+        let new = std::mem::replace(&mut self.cancellations, old_cancellations);
+        let max_dropped_revision = new.max_dropped_revision();
+        if max_dropped_revision > old.revision {
+            self.cancellations.note_dropped(max_dropped_revision);
+        }
         for cancellation in new.into_sorted() {
-            let known = old_jobs.get(&cancellation.id);
-            let known_state = known.map(|entry| entry.record.state);
-            if known_state != Some(JobState::Cancelled) {
+            // The old copy had applied all changes up to its revision, even if it no longer has the job.
+            let known_state = old.job(&cancellation.id).map(|job| job.state());
+            let is_known =
+                cancellation.revision <= old.revision || known_state == Some(JobState::Cancelled);
+            if !is_known {
                 let revision = cancellation.revision;
                 self.cancellations.push(revision, &cancellation.id);
             }
--- a/crates/saltpitch-core/src/records/record_cache/mod.rs
+++ b/crates/saltpitch-core/src/records/record_cache/mod.rs
@@ -2,13 +2,14 @@
 //!
 //! Changes may be applied late, twice and in any order: for each key, the newest revision wins. The modules [`jobs`],
 //! [`tasks`] and [`machines`] apply the changes of their kinds of records, and [`implicit_cancellations`] derives
-//! which jobs are cancelled because a job that they depend on is.
+//! which jobs are cancelled because a job that they depend on is. [`retention`] bounds what is kept of ended jobs.
 
 mod carry_over;
 mod delegation_index;
 mod implicit_cancellations;
 mod jobs;
 mod machines;
+mod retention;
 mod tasks;
 
 use std::collections::{BTreeMap, HashMap};
@@ -20,9 +21,10 @@
 use super::keys::{parse_key, Key};
 use super::recorded_tasks::{Checkpoint, RecordedSegment, TaskStates};
 use super::stored::{JobRecord, LeaderRecord, MachineBlockRecord, NodeRecord, TermRecord};
-use super::{Cancellations, ReturnedMachines, Versioned};
+use super::{Cancellations, EndedJob, EndedJobs, ReturnedMachines, Versioned};
 use crate::catalog::Catalog;
 use crate::images::ImageLocations;
+use crate::job::JobState;
 
 use delegation_index::DelegationIndex;
 use implicit_cancellations::ImplicitCancellations;
@@ -36,6 +38,33 @@
     pub record: JobRecord,
 }
 
+/// What is known of a job.
+#[derive(Clone, Copy, Debug)]
+pub enum RecordedJob<'a> {
+    /// The record of a job that has no final record yet.
+    Live(&'a JobEntry),
+    /// The outcome of a job that has ended.
+    Ended(&'a EndedJob),
+}
+
+impl RecordedJob<'_> {
+    /// Returns the revision of the job's record.
+    pub fn revision(&self) -> u64 {
+        match self {
+            RecordedJob::Live(entry) => entry.revision,
+            RecordedJob::Ended(job) => job.revision,
+        }
+    }
+
+    /// Returns the recorded state of the job.
+    pub fn state(&self) -> JobState {
+        match self {
+            RecordedJob::Live(entry) => entry.record.state,
+            RecordedJob::Ended(job) => job.state,
+        }
+    }
+}
+
 /// What changed in the cache.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -63,8 +92,15 @@
 pub struct RecordCache {
     /// The revision up to which the copy is complete.
     pub revision: u64,
-    /// All jobs that were ever accepted, by id.
+    /// The jobs without a final record, by id.
     pub jobs: HashMap<String, JobEntry>,
+    /// The outcomes of recently ended jobs, and of those on which an active job depends.
+    ended_jobs: EndedJobs,
+    /// Whether `jobs` has every job without a final record. Until then, a job that is not in memory may be one whose
+    /// record has not been read yet.
+    has_all_live_jobs: bool,
+    /// The highest revision of a record that was put.
+    last_put_revision: u64,
     /// The tasks of jobs without a final record, by the job's id.
     pub tasks: HashMap<String, TaskStates>,
     /// Checkpoints by the job's id and the index of the range of tasks.
@@ -115,6 +151,17 @@
     /// Applies a write of one key, unless a newer one has already been applied. A record that cannot be read is
     /// refused and leaves the cached record unchanged.
     pub fn put(&mut self, key: &str, raw: &RawValue, revision: u64) -> Result<Change, RecordError> {
+        let change = self.put_record(key, raw, revision)?;
+        self.last_put_revision = self.last_put_revision.max(revision);
+        Ok(change)
+    }
+
+    fn put_record(
+        &mut self,
+        key: &str,
+        raw: &RawValue,
+        revision: u64,
+    ) -> Result<Change, RecordError> {
         match parse_key(key) {
             Key::Term => self.put_term(raw, revision),
             Key::Leader => self.put_leader(raw, revision),
--- a/crates/saltpitch-core/src/records/stored.rs
+++ b/crates/saltpitch-core/src/records/stored.rs
@@ -70,8 +70,7 @@
     /// from then. Left out otherwise; earlier versions do not have this field.
     #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
     pub done_at: Option<Micros>,
-    /// The job's last delegation to another cell. Both this field and `guest` are boxed: records of finished jobs
-    /// are never removed from memory, and few jobs have either field.
+    /// The job's last delegation to another cell. Both this field and `guest` are boxed, because few jobs have either.
     #[serde(
         rename = "x",
         default,
@@ -107,6 +106,20 @@
         }
     }
 
+    /// Returns whether the job has ended and has no tasks left, so that its record does not change any more.
+    pub fn is_final(&self) -> bool {
+        match self.state {
+            JobState::Active => false,
+            JobState::Done => true,
+            JobState::Cancelled => self.spec.is_none(),
+        }
+    }
+
+    /// Returns the ids of the jobs that this one depends on, as far as the record has them.
+    pub fn dependencies(&self) -> &[String] {
+        self.spec.as_ref().map_or(&[], |spec| &spec.dependencies)
+    }
+
     /// Creates the final record of a job that is done or cancelled and has no tasks left.
     pub fn final_record(state: JobState, done_at: Option<Micros>) -> JobRecord {
         JobRecord {
--- a/crates/saltpitch-core/src/scheduler/delegation.rs
+++ b/crates/saltpitch-core/src/scheduler/delegation.rs
@@ -10,7 +10,7 @@
 use super::{Job, Scheduler};
 use crate::job::{JobKind, JobNumber, JobSpec, JobState, Priority};
 use crate::machine::Machine;
-use crate::records::{JobRecord, RecordCache};
+use crate::records::JobRecord;
 use crate::time::Micros;
 
 /// The maximum number of waiting jobs that a search considers.
@@ -219,18 +219,9 @@
 
     /// Finishes a job that the host cell completed and whose final record is written, which removes it from
     /// memory.
-    pub(super) fn completed_by_host(
-        &mut self,
-        number: JobNumber,
-        records: &RecordCache,
-        now: Micros,
-    ) {
-        let is_remote = |job: &&Job| job.owner == JobOwner::Remote;
-        let Some(job) = self.job_table.get(number).filter(is_remote) else {
-            return;
-        };
-        let record = records.jobs.get(&*job.id).map(|entry| &entry.record);
-        if record.is_some_and(|record| record.state == JobState::Done && record.spec.is_none()) {
+    pub(super) fn completed_by_host(&mut self, number: JobNumber, now: Micros) {
+        let job = self.job_table.get(number);
+        if job.is_some_and(|job| job.owner == JobOwner::Remote) {
             self.finish_job(number, now);
         }
     }
--- a/crates/saltpitch-core/src/scheduler/dependency_gate.rs
+++ b/crates/saltpitch-core/src/scheduler/dependency_gate.rs
@@ -55,8 +55,9 @@
     }
 
     /// Notes which of the job's dependencies are not done on record. Since that state is final, a job
-    /// that is done in any copy of the records is done, even if the copy is out of date. A job that is
-    /// missing there counts as not done.
+    /// that is done in any copy of the records is done, even if the copy is out of date. The copy keeps the
+    /// outcomes of all dependencies of active jobs, so a job that is missing there was not read yet and counts as not
+    /// done.
     pub(super) fn resolve_dependencies(
         &mut self,
         job: &mut Job,
@@ -66,9 +67,8 @@
         wall: Micros,
     ) {
         for id in &job.spec.dependencies {
-            let record = records.jobs.get(id).map(|entry| &entry.record);
-            let done = record.filter(|record| record.state == JobState::Done);
-            if let Some(done) = done {
+            let ended = records.ended_jobs().get(id);
+            if let Some(done) = ended.filter(|ended| ended.state == JobState::Done) {
                 let done_at = done.done_at.map(|at| now.since(wall.since(at)));
                 job.times.queued_at = job.times.queued_at.max(done_at.unwrap_or_default());
                 continue;
--- a/crates/saltpitch-core/src/scheduler/job_changes.rs
+++ b/crates/saltpitch-core/src/scheduler/job_changes.rs
@@ -9,7 +9,9 @@
 use super::{Job, JobBackoff, JobTimeline, JobTimes, Scheduler, TaskSet};
 use crate::gang::GangState;
 use crate::job::{JobKind, JobNumber, JobSpec, JobState};
-use crate::records::{Checkpoint, JobEntry, RecordCache, TASKS_PER_CHECKPOINT};
+use crate::records::{
+    Checkpoint, EndedJob, JobEntry, RecordCache, RecordedJob, TASKS_PER_CHECKPOINT,
+};
 use crate::time::Micros;
 
 /// The allocation of a task as the records show it.
@@ -38,35 +40,22 @@
 
     /// Handles a new or changed record of a job.
     pub fn job_changed(&mut self, records: &RecordCache, id: &str, now: Micros, wall: Micros) {
-        let Some(entry) = records.jobs.get(id) else {
-            return;
-        };
-        self.update_dependents(id, entry, now, wall);
-        match self.job_table.number_of(id) {
-            Some(number) => self.known_job_changed(number, entry, records, now),
-            None => self.add_job(id, entry, records, now, wall),
-        }
-    }
-
-    /// Passes the outcome of a job on to the jobs that depend on it.
-    fn update_dependents(&mut self, id: &str, entry: &JobEntry, now: Micros, wall: Micros) {
-        match entry.record.state {
-            JobState::Done => {
-                let done_at = entry.record.done_at.map(|at| now.since(wall.since(at)));
-                self.dependency_completed(id, done_at.unwrap_or(now), now);
+        match records.job(id) {
+            Some(RecordedJob::Ended(ended)) => self.job_ended(id, ended, now, wall),
+            Some(RecordedJob::Live(entry)) => {
+                if entry.record.state == JobState::Cancelled {
+                    self.dependency_cancelled(id, now);
+                }
+                match self.job_table.number_of(id) {
+                    Some(number) => self.known_job_changed(number, entry, now),
+                    None => self.add_job(id, entry, records, now, wall),
+                }
             }
-            JobState::Cancelled => self.dependency_cancelled(id, now),
-            JobState::Active => {}
+            None => {}
         }
     }
 
-    fn known_job_changed(
-        &mut self,
-        number: JobNumber,
-        entry: &JobEntry,
-        records: &RecordCache,
-        now: Micros,
-    ) {
+    fn known_job_changed(&mut self, number: JobNumber, entry: &JobEntry, now: Micros) {
         let Some(job) = self.job_table.get_mut(number) else {
             return;
         };
@@ -78,7 +67,36 @@
             self.cancel_if_active(number, now);
         }
         self.job_owner_changed(number, &entry.record, now);
-        self.completed_by_host(number, records, now);
+    }
+
+    /// Handles the final record of a job.
+    fn job_ended(&mut self, id: &str, ended: &EndedJob, now: Micros, wall: Micros) {
+        self.job_table.take_early_cancellation(id);
+        if ended.state == JobState::Cancelled {
+            self.dependency_cancelled(id, now);
+        } else {
+            let done_at = ended.done_at.map(|at| now.since(wall.since(at)));
+            self.dependency_completed(id, done_at.unwrap_or(now), now);
+        }
+        if let Some(number) = self.job_table.number_of(id) {
+            self.known_job_ended(number, ended, now);
+        }
+    }
+
+    fn known_job_ended(&mut self, number: JobNumber, ended: &EndedJob, now: Micros) {
+        let Some(job) = self.job_table.get_mut(number) else {
+            return;
+        };
+        if ended.revision <= job.revision {
+            return;
+        }
+        job.revision = ended.revision;
+        job.has_final_record = true;
+        if ended.state == JobState::Cancelled {
+            self.cancel_if_active(number, now);
+        } else {
+            self.completed_by_host(number, now);
+        }
     }
 
     /// Adds a job that this scheduler did not know: newly submitted, or restored from the records.
@@ -93,10 +111,6 @@
         let Some(spec) = entry.record.spec.clone() else {
             return;
         };
-        // A job that is done has no tasks on machines, so its record is final.
-        if entry.record.state == JobState::Done {
-            return;
-        }
         let number = self.job_table.next_number();
         let mut job = self.new_job(id, spec, entry, records, now, wall);
         let allocations = restore_tasks(&mut job, id, records);
@@ -145,6 +159,7 @@
             team: self.quota.team_index(&spec.team),
             id: id.into(),
             revision: entry.revision,
+            has_final_record: false,
             state: match is_cancelled {
                 true => JobState::Cancelled,
                 false => entry.record.state,
--- a/crates/saltpitch-core/src/scheduler/job_table/job.rs
+++ b/crates/saltpitch-core/src/scheduler/job_table/job.rs
@@ -68,6 +68,8 @@
     pub team: usize,
     /// The revision of its record.
     pub revision: u64,
+    /// Whether the records have shown the job's final record, although this leader does not know yet that it wrote it.
+    pub has_final_record: bool,
     /// Whether the job is active or was cancelled.
     pub state: JobState,
     /// Which cell the job currently belongs to.
--- a/crates/saltpitch-core/src/scheduler/record_commits.rs
+++ b/crates/saltpitch-core/src/scheduler/record_commits.rs
@@ -5,7 +5,7 @@
 use super::persistence::{CommittedMachine, RecordSources};
 use super::{Alert, Scheduler, TransactionOutcome};
 use crate::job::{JobNumber, JobState};
-use crate::records::RecordCache;
+use crate::records::{RecordCache, RecordedJob};
 use crate::time::Micros;
 
 impl Scheduler {
@@ -88,10 +88,8 @@
             *checkpoint = found.copied().unwrap_or_default();
         }
         // A final record may have been written although the answer was lost.
-        let entry = records.jobs.get(&*id);
-        let has_final_record =
-            entry.is_some_and(|entry| entry.record.spec.is_none() && entry.record.state.is_final());
-        if has_final_record {
+        let has_ended = matches!(records.job(&id), Some(RecordedJob::Ended(_)));
+        if job.has_final_record || has_ended {
             self.persistence.final_record_found(number);
             self.finish_job(number, now);
         } else {
--- a/crates/saltpitch-core/src/scheduler/recovery.rs
+++ b/crates/saltpitch-core/src/scheduler/recovery.rs
@@ -113,7 +113,7 @@
         true
     }
 
-    /// Restores the jobs on record, and deletes the checkpoints that are left of ended jobs.
+    /// Restores the jobs that have not ended, and deletes the checkpoints that are left of ended jobs.
     fn restore_jobs(&mut self, records: &RecordCache, now: Micros, wall: Micros) {
         let mut ids: Vec<&String> = records.jobs.keys().collect();
         ids.sort();
--- a/crates/saltpitch-core/tests/controller.rs
+++ b/crates/saltpitch-core/tests/controller.rs
@@ -12,7 +12,7 @@
 };
 use saltpitch_core::leadership::answer_bound;
 use saltpitch_core::messages::{PeerStatus, PROTOCOL_VERSION};
-use saltpitch_core::records::RecordChange;
+use saltpitch_core::records::{RecordChange, DEFAULT_MAX_ENDED_JOBS};
 
 /// The time at which each test begins.
 const START: Micros = Micros::from_secs(100);
@@ -38,6 +38,7 @@
 fn controller(stored: &[(&str, &str)]) -> Controller {
     let config = ControllerConfig {
         knows_delegations: false,
+        max_ended_jobs: DEFAULT_MAX_ENDED_JOBS,
         name: "n0".to_owned(),
         zone: "east".to_owned(),
         peers: vec![PeerIdentity {
@@ -379,7 +380,9 @@
 
 /// Returns what a controller derives from the records for users and for a new leader, in a fixed order.
 fn summary(records: &RecordCache) -> Vec<String> {
-    let jobs = records.jobs.keys().map(|id| {
+    let live = records.jobs.keys().map(String::as_str);
+    let ended = records.ended_jobs().iter().map(|(id, _)| id);
+    let jobs = live.chain(ended).map(|id| {
         let (state, counts) = (records.job_state(id), records.task_counts(id));
         format!("{id} {state:?} {counts:?}")
     });
--- a/crates/saltpitch-core/tests/record_samples.rs
+++ b/crates/saltpitch-core/tests/record_samples.rs
@@ -269,7 +269,8 @@
     assert_eq!(spec("job-000004"), Some(waiting_array_spec()));
     assert_eq!(spec("job-000007"), Some(service_spec()));
     assert_eq!(spec("job-000008"), Some(low_priority_spec()));
-    assert_eq!(records.jobs["job-000002"].record.done_at, Some(TIME));
+    let ended = records.ended_jobs().get("job-000002");
+    assert_eq!(ended.map(|job| job.done_at), Some(Some(TIME)));
     assert_eq!(records.job_state("job-000009"), Some(JobState::Done));
     for id in ["job-000003", "job-000005", "job-000006"] {
         assert_eq!(records.job_state(id), Some(JobState::Cancelled), "{id}");
--- a/crates/saltpitch-testkit/src/cells/host.rs
+++ b/crates/saltpitch-testkit/src/cells/host.rs
@@ -2,6 +2,7 @@
 
 use saltpitch_cells::host::{Admission, HostLimits};
 use saltpitch_cells::link::{HostStatus, LinkAnswer, LinkRequest, Refusal, Submission};
+use saltpitch_core::job::JobState;
 use saltpitch_core::records::job_key;
 use saltpitch_core::scheduler::{Precondition, Write};
 use saltpitch_core::Micros;
@@ -38,13 +39,28 @@
         Some(match request {
             LinkRequest::Readiness if self.admission.has_room(records) => LinkAnswer::Ready,
             LinkRequest::Readiness => refused(503, "no room", Some(Micros::from_secs(2))),
-            LinkRequest::Status { id } => status(self.admission.status(records, id)),
+            LinkRequest::Status { id } => status(self.status(node, id)),
             LinkRequest::Submit(submission) => self.submit(node, submission),
             LinkRequest::Abort { id, unless_begun } => self.abort(node, id, *unless_begun),
         })
     }
 
+    /// Returns the status of a peer cell's job according to the controller's records or, if the job is not in memory,
+    /// to its record in the store.
+    fn status(&self, node: usize, sent: &str) -> Option<HostStatus> {
+        let Simulation { nodes, store, .. } = &self.simulation;
+        let id = self.admission.hosted_job_id(sent);
+        match nodes[node].job_state(&id, store)? {
+            JobState::Done => Some(HostStatus::Done),
+            JobState::Cancelled => Some(HostStatus::Withdrawn),
+            JobState::Active => self.admission.status(nodes[node].records(), sent),
+        }
+    }
+
     fn submit(&mut self, node: usize, submission: &Submission) -> LinkAnswer {
+        if let Some(known) = self.status(node, &submission.id) {
+            return LinkAnswer::Status(known);
+        }
         let simulation = &mut self.simulation;
         let Some(catalog) = simulation.nodes[node].controller.catalog().cloned() else {
             return refused(503, "no machine types", None);
@@ -80,7 +96,7 @@
         nodes[node].read_records(store, now);
         match submission.closing {
             true => LinkAnswer::Closed,
-            false => status(self.admission.status(nodes[node].records(), &submission.id)),
+            false => status(self.status(node, &submission.id)),
         }
     }
 
@@ -94,7 +110,7 @@
             nodes, store, now, ..
         } = &mut self.simulation;
         nodes[node].read_records(store, *now);
-        status(self.admission.status(nodes[node].records(), sent))
+        status(self.status(node, sent))
     }
 }
 
--- a/crates/saltpitch-testkit/src/histories.rs
+++ b/crates/saltpitch-testkit/src/histories.rs
@@ -26,7 +26,17 @@
     busy_s: u64,
     quiet_s: u64,
 ) -> Result<Simulation, InvariantViolation> {
-    let mut simulation = Simulation::new(seed, faults, seconds(busy_s));
+    let simulation = Simulation::new(seed, faults, seconds(busy_s));
+    play_on(simulation, seed, busy_s, quiet_s)
+}
+
+/// Plays the same history on a site that may have other settings than [`play`] uses.
+pub fn play_on(
+    mut simulation: Simulation,
+    seed: u64,
+    busy_s: u64,
+    quiet_s: u64,
+) -> Result<Simulation, InvariantViolation> {
     let mut ids: Vec<String> = Vec::new();
     for number in 0..busy_s / 4 {
         simulation.run(seconds(number * 4))?;
--- a/crates/saltpitch-testkit/src/invariants.rs
+++ b/crates/saltpitch-testkit/src/invariants.rs
@@ -11,6 +11,7 @@
 use saltpitch_core::Micros;
 
 use crate::agents::{Agent, AgentTask, TaskId};
+use crate::nodes::Node;
 use crate::simulation::{Simulation, UserJob};
 
 pub use violation::{Invariant, InvariantViolation};
@@ -49,6 +50,7 @@
     }
     check_quotas(simulation, &running)?;
     check_zones(simulation)?;
+    check_kept_jobs(simulation)?;
     for (id, job) in &simulation.jobs {
         check_job(simulation, id, job)?;
     }
@@ -187,9 +189,71 @@
     if let Some(at) = job.dependency_cancelled_at {
         check_dependent_cancelled(simulation, id, at)?;
     }
+    for node in simulation
+        .nodes
+        .iter()
+        .filter(|node| is_current(simulation, node))
+    {
+        check_answer(simulation, node, id, &record)?;
+    }
     check_state(simulation, id, job, record.state)
 }
 
+/// Returns whether a controller is up and its records are those in the store.
+fn is_current(simulation: &Simulation, node: &Node) -> bool {
+    node.is_up(simulation.now)
+        && node.controller.is_synced()
+        && node.records().revision == simulation.store.revision
+}
+
+/// Checks what a controller with current records answers about a job, whose record this is: it knows the job, and a
+/// final state is the one on record.
+fn check_answer(
+    simulation: &Simulation,
+    node: &Node,
+    id: &str,
+    record: &JobRecord,
+) -> Result<(), InvariantViolation> {
+    let violation = |invariant, text| Err(InvariantViolation::new(invariant, text).of_job(id));
+    let Some(answer) = node.job_state(id, &simulation.store) else {
+        let text = format!("{} answers that {id} was never accepted", node.name);
+        return violation(Invariant::JobLost, text);
+    };
+    if record.state.is_final() && answer != record.state {
+        let (name, state) = (&node.name, record.state);
+        let text = format!("{name} answers that {id} is {answer:?} instead of {state:?}");
+        return violation(Invariant::StateReverted, text);
+    }
+    if record.is_final() && node.records().jobs.contains_key(id) {
+        let text = format!("{} keeps the record of {id}, which has ended", node.name);
+        return violation(Invariant::EndedJobKept, text);
+    }
+    Ok(())
+}
+
+/// Checks that the outcomes of ended jobs that a controller keeps are limited to recent jobs and dependencies of live
+/// jobs.
+fn check_kept_jobs(simulation: &Simulation) -> Result<(), InvariantViolation> {
+    for node in simulation
+        .nodes
+        .iter()
+        .filter(|node| is_current(simulation, node))
+    {
+        let records = node.records();
+        let specs = records
+            .jobs
+            .values()
+            .filter_map(|entry| entry.record.spec.as_ref());
+        let dependencies: usize = specs.map(|spec| spec.dependencies.len()).sum();
+        let kept = records.ended_jobs().len();
+        if kept > node.max_ended_jobs + dependencies {
+            let text = format!("{} keeps the outcomes of {kept} ended jobs", node.name);
+            return Err(InvariantViolation::new(Invariant::EndedJobKept, text));
+        }
+    }
+    Ok(())
+}
+
 /// Checks that a job that depends on a cancelled one is cancelled in every controller whose records are
 /// current.
 fn check_dependent_cancelled(
@@ -200,10 +264,8 @@
     let violation =
         |text| Err(InvariantViolation::new(Invariant::DependentNotCancelled, text).of_job(id));
     for node in &simulation.nodes {
-        let knows = node.is_up(simulation.now)
-            && node.controller.is_synced()
-            && node.records().revision == simulation.store.revision;
-        if knows && node.records().job_state(id) != Some(JobState::Cancelled) {
+        let knows = is_current(simulation, node);
+        if knows && node.job_state(id, &simulation.store) != Some(JobState::Cancelled) {
             let text = format!("{id} depends on a cancelled job and is not cancelled");
             return violation(format!("{text} in the records of {}", node.name));
         }
--- a/crates/saltpitch-testkit/src/invariants/violation.rs
+++ b/crates/saltpitch-testkit/src/invariants/violation.rs
@@ -33,6 +33,8 @@
     JobLost,
     /// Every job's record can be read.
     UnreadableRecord,
+    /// A controller keeps no record of a job that has ended, and few outcomes of such jobs.
+    EndedJobKept,
     /// All tasks of a job that is done have completed.
     DoneWithoutResults,
     /// A job that is done or cancelled stays so, and no job is cancelled that nobody cancelled.
@@ -62,6 +64,7 @@
             Invariant::Starvation => "waits",
             Invariant::JobLost => "forgotten",
             Invariant::UnreadableRecord => "unreadable",
+            Invariant::EndedJobKept => "kept",
             Invariant::DoneWithoutResults => "not_done",
             Invariant::StateReverted => "went_back",
             Invariant::DuplicateOwnership => "owned_twice",
--- a/crates/saltpitch-testkit/src/nodes.rs
+++ b/crates/saltpitch-testkit/src/nodes.rs
@@ -1,20 +1,26 @@
 //! A simulated process around one [`Controller`]. It passes messages between the controller and the other
 //! simulated parts; the controller makes all decisions, with the same code as in the program.
 
+use std::collections::BTreeSet;
+
 use saltpitch_core::agent::Heartbeat;
 use saltpitch_core::controller::{
     Controller, ControllerConfig, HeartbeatAnswer, PeerIdentity, StoreHealth,
 };
+use saltpitch_core::job::JobState;
 use saltpitch_core::messages::PeerStatus;
-use saltpitch_core::records::{node_key, RecordCache, RecordChange};
+use saltpitch_core::records::{job_key, node_key, JobRead, JobRecord, RecordCache, RecordChange};
 use saltpitch_core::scheduler::{
     Effect, Precondition, Scheduler, SchedulerConfig, TransactionOutcome,
 };
 use saltpitch_core::Micros;
+use serde_json::value::RawValue;
 
 use crate::previous_version;
 use crate::store::Store;
 
+/// How many recently ended jobs a simulated process keeps: so few that most of a history's jobs are evicted.
+const MAX_ENDED_JOBS: usize = 3;
 /// How long after its last success the state service still counts as reachable.
 const STORE_REACHABLE_WITHIN: Micros = Micros::from_secs(2);
 
@@ -31,6 +37,15 @@
     pub runs_version_0: bool,
     /// Whether it runs with a settings file for cells.
     pub knows_delegations: bool,
+    /// How many recently ended jobs the process keeps in memory.
+    pub max_ended_jobs: usize,
+    /// After so many reads of the records the process lists all of them again, as after a revision that is too old.
+    /// It does so only once, at its start, if this is `None`.
+    pub reads_per_listing: Option<u64>,
+    /// How often the process has read the records.
+    read_count: u64,
+    /// How many records of jobs the process has read by their keys.
+    pub job_read_count: u64,
     /// The number of this node's current process; each restart adds one.
     pub process_number: u64,
     /// The state machine; one in its initial state until the process has started.
@@ -62,6 +77,7 @@
     zone: &str,
     scheduler: SchedulerConfig,
     knows_delegations: bool,
+    max_ended_jobs: usize,
 ) -> ControllerConfig {
     let others = CONTROLLERS.iter().filter(|(other, _)| *other != name);
     let identity = |(name, zone): &(&str, &str)| PeerIdentity {
@@ -74,6 +90,7 @@
         peers: others.map(identity).collect(),
         scheduler,
         knows_delegations,
+        max_ended_jobs,
     }
 }
 
@@ -83,13 +100,17 @@
 impl Node {
     /// Returns a node whose process has not started yet.
     pub fn new(name: &str, zone: &str, scheduler: SchedulerConfig) -> Node {
-        let config = controller_config(name, zone, scheduler, false);
+        let config = controller_config(name, zone, scheduler, false, MAX_ENDED_JOBS);
         Node {
             name: name.to_owned(),
             zone: zone.to_owned(),
             up_at: Micros::ZERO,
             runs_version_0: false,
             knows_delegations: false,
+            max_ended_jobs: MAX_ENDED_JOBS,
+            reads_per_listing: None,
+            read_count: 0,
+            job_read_count: 0,
             process_number: 0,
             controller: Controller::new(config, 0, 0),
             is_started: false,
@@ -107,7 +128,8 @@
     /// Starts the process with the settings as its version reads them.
     pub fn start(&mut self, scheduler: SchedulerConfig, wall: Micros) {
         let known = self.knows_delegations;
-        let config = controller_config(&self.name, &self.zone, scheduler, known);
+        let max_ended_jobs = self.max_ended_jobs;
+        let config = controller_config(&self.name, &self.zone, scheduler, known, max_ended_jobs);
         self.controller = Controller::new(config, self.process_number, wall.0);
         self.is_started = true;
     }
@@ -119,6 +141,9 @@
             up_at,
             runs_version_0: self.runs_version_0,
             knows_delegations: self.knows_delegations,
+            max_ended_jobs: self.max_ended_jobs,
+            reads_per_listing: self.reads_per_listing,
+            job_read_count: self.job_read_count,
             process_number: self.process_number + 1,
             store_partition_until: self.store_partition_until,
             agent_partition_until: self.agent_partition_until,
@@ -221,10 +246,12 @@
     /// current records instead, in the order of keys.
     pub fn read_records(&mut self, store: &Store, now: Micros) {
         self.store_success_at = Some(now);
-        if !self.controller.is_synced() {
-            let records = list_records(store);
-            let _ = self.controller.replace_records(records, now, now);
-            return;
+        self.read_count += 1;
+        let is_listing_due = self
+            .reads_per_listing
+            .is_some_and(|reads| self.read_count.is_multiple_of(reads));
+        if !self.controller.is_synced() || is_listing_due {
+            return self.list_records(store, now);
         }
         let from = self.records().revision;
         let changes = store
@@ -235,10 +262,52 @@
                 revision,
             });
         let changes: Vec<RecordChange> = changes.collect();
+        let unknown = self.controller.unknown_dependencies(&changes, &[]);
+        let reads = self.read_jobs(unknown, store);
+        self.controller.apply_job_reads(&reads);
         self.controller
             .apply_changes(from, changes, store.revision, now, now);
     }
 
+    /// Lists all current records and replaces the copy.
+    fn list_records(&mut self, store: &Store, now: Micros) {
+        let mut records = list_records(store, self.max_ended_jobs);
+        let unknown = self.controller.unknown_outcomes(&records, &[]);
+        for read in self.read_jobs(unknown, store) {
+            let _ = records.put_job_read(&read);
+        }
+        let _ = self.controller.replace_records(records, now, now);
+    }
+
+    /// Reads the records of jobs by their keys.
+    fn read_jobs(&mut self, ids: BTreeSet<String>, store: &Store) -> Vec<JobRead> {
+        self.job_read_count += ids.len() as u64;
+        let read = |id: String| {
+            let entry = store.keys.get(&job_key(&id));
+            let record = entry.and_then(|entry| {
+                let value = RawValue::from_string(entry.value.clone()).ok()?;
+                Some((value, entry.revision))
+            });
+            JobRead { id, record }
+        };
+        ids.into_iter().map(read).collect()
+    }
+
+    /// Returns a job's state as users see it: from memory or, if the job may have ended and left memory, from the
+    /// job's record in the state service as of the revision of the copy in memory.
+    pub fn job_state(&self, id: &str, store: &Store) -> Option<JobState> {
+        let records = self.records();
+        let in_memory = records.job_state(id);
+        let is_kept_if_accepted =
+            !self.controller.is_synced() || records.ended_jobs().is_complete();
+        if in_memory.is_some() || is_kept_if_accepted {
+            return in_memory;
+        }
+        let value = store.value_at(&job_key(id), records.revision)?;
+        let record = serde_json::from_str::<JobRecord>(value).ok()?;
+        Some(record.state)
+    }
+
     /// Writes the process's incarnation to the state service.
     pub fn announce(&mut self, store: &mut Store) {
         let Some(announcement) = self.controller.announcement() else {
@@ -318,15 +387,16 @@
     }
 }
 
-/// Returns all current records.
-fn list_records(store: &Store) -> RecordCache {
-    let mut records = RecordCache::default();
+/// Returns all current records, with the outcomes of up to `max_ended_jobs` recently ended jobs.
+fn list_records(store: &Store, max_ended_jobs: usize) -> RecordCache {
+    let mut records = RecordCache::new(max_ended_jobs);
+    records.revision = store.revision;
     for (key, entry) in &store.keys {
-        let Ok(value) = serde_json::value::RawValue::from_string(entry.value.clone()) else {
+        let Ok(value) = RawValue::from_string(entry.value.clone()) else {
             continue;
         };
         let _ = records.put(key, &value, entry.revision);
+        records.trim_listing();
     }
-    records.revision = store.revision;
     records
 }
--- a/crates/saltpitch-testkit/src/simulation/observe.rs
+++ b/crates/saltpitch-testkit/src/simulation/observe.rs
@@ -36,12 +36,12 @@
         let knows = |node: &Node, id: &str| {
             node.is_up(now)
                 && node.can_reach_store(&self.store, now)
-                && node.records().jobs.contains_key(id)
+                && node.job_state(id, &self.store).is_some()
         };
         for (id, job) in &mut self.jobs {
             let known = self.nodes.iter().any(|node| knows(node, id));
             for (node_index, node) in self.nodes.iter().enumerate() {
-                let state = node.records().job_state(id);
+                let state = node.job_state(id, &self.store);
                 self.trace.event("status", now).text(id);
                 self.trace
                     .number(node_index as u64)
--- a/crates/saltpitch-testkit/src/store.rs
+++ b/crates/saltpitch-testkit/src/store.rs
@@ -191,6 +191,18 @@
         }
     }
 
+    /// Returns the value that a key had at this revision.
+    pub fn value_at(&self, key: &str, revision: u64) -> Option<&str> {
+        let entry = self.keys.get(key);
+        if let Some(entry) = entry.filter(|entry| entry.revision <= revision) {
+            return Some(&entry.value);
+        }
+        let changes = self.change_log.iter().rev();
+        let mut earlier = changes.filter(|(changed_at, _, _)| *changed_at <= revision);
+        let (_, _, value) = earlier.find(|(_, changed, _)| changed == key)?;
+        value.as_deref()
+    }
+
     /// Returns the changes after the revision `from`, in order.
     pub fn changes(&self, from: u64) -> impl Iterator<Item = (u64, &str, Option<Box<RawValue>>)> {
         let start = self.change_log.partition_point(|c| c.0 <= from);
--- a/crates/saltpitch/src/cells/command.rs
+++ b/crates/saltpitch/src/cells/command.rs
@@ -12,6 +12,7 @@
 use saltpitch_core::job::JobState;
 use saltpitch_core::records::{
     job_key, Delegation, DelegationState, JobRecord, RecordCache, RecordError,
+    DEFAULT_MAX_ENDED_JOBS,
 };
 use saltpitch_core::scheduler::{Precondition, Transaction, TransactionOutcome, Write};
 
@@ -145,7 +146,7 @@
 
 /// Reads all records. Prints the keys of unreadable records to standard error.
 async fn read_records(store: &StoreClient, clock: Clock) -> Result<RecordCache, CommandError> {
-    let new_listing = || Listing::new(clock, print_unreadable);
+    let new_listing = || Listing::new(clock, DEFAULT_MAX_ENDED_JOBS, print_unreadable);
     let mut listing = new_listing();
     let mut backoff = Backoff::new(FIRST_READ_PAUSE, MAX_READ_PAUSE);
     let mut rng = SmallRng::from_os_rng();
--- a/crates/saltpitch/src/cells/listener.rs
+++ b/crates/saltpitch/src/cells/listener.rs
@@ -9,6 +9,7 @@
 use poem::{Endpoint, Request, Response, Server};
 use saltpitch_cells::host::{Admission, AdmissionError, HostAdmission, HostLimits};
 use saltpitch_cells::link::{HostStatus, Submission};
+use saltpitch_core::job::JobState;
 use saltpitch_core::records::{job_key, JobRecord};
 use saltpitch_core::scheduler::TransactionOutcome;
 use saltpitch_core::Micros;
@@ -116,8 +117,8 @@
             Ok(submission) => submission,
             Err(reason) => return Ok(refusal(StatusCode::BAD_REQUEST, &reason.to_string())),
         };
-        if !self.node.read_latest_records().await {
-            return Err(Unavailable);
+        if let Some(status) = self.status(&submission.id).await? {
+            return Ok(status_response(StatusCode::OK, &submission.id, status));
         }
         match self.admit(&submission)? {
             Ok(Admission::Known(status)) => {
@@ -174,15 +175,16 @@
         self.admission.status(controller.records(), sent_id)
     }
 
-    /// Returns a job's status. Unless the status is final, the local copy of the records is first updated to be
-    /// at least as new as the request.
+    /// Returns a job's status; `None` if the job was never accepted. Unless the status is final, the local copy of the
+    /// records is first updated to be at least as new as the request.
     async fn status(&self, sent_id: &str) -> Result<Option<HostStatus>, Unavailable> {
-        let status = self.cached_status(sent_id);
-        let is_final = matches!(status, Some(HostStatus::Done | HostStatus::Withdrawn));
-        if !is_final && !self.node.read_latest_records().await {
-            return Err(Unavailable);
-        }
-        Ok(self.cached_status(sent_id))
+        let id = self.admission.hosted_job_id(sent_id);
+        Ok(match self.node.latest_job_state(&id).await? {
+            None => None,
+            Some(JobState::Done) => Some(HostStatus::Done),
+            Some(JobState::Cancelled) => Some(HostStatus::Withdrawn),
+            Some(JobState::Active) => Some(self.cached_status(sent_id).ok_or(Unavailable)?),
+        })
     }
 
     async fn query(&self, sent_id: &str) -> Result<Response, Unavailable> {
--- a/crates/saltpitch/src/main.rs
+++ b/crates/saltpitch/src/main.rs
@@ -12,6 +12,7 @@
 mod effects;
 mod fresh_reads;
 mod http;
+mod job_lookups;
 mod leadership;
 mod mutex;
 mod node;
--- a/crates/saltpitch/src/node.rs
+++ b/crates/saltpitch/src/node.rs
@@ -17,6 +17,7 @@
 use crate::connection_limit::Connections;
 use crate::fresh_reads::FreshReads;
 use crate::http::Client;
+use crate::job_lookups::JobLookups;
 use crate::mutex::lock;
 use crate::peer_link::PeerClient;
 use crate::settings::Settings;
@@ -28,9 +29,11 @@
 const INBOUND_CONNECTIONS_PERCENT: usize = 70;
 const IDLE_CONNECTIONS_PERCENT: usize = 10;
 /// The maximum number of users' queries that wait for the latest records at a time, as a percentage of
-/// the sockets. It is limited because heartbeats, submissions and cancellations share the processor with
+/// the sockets, and likewise of those that wait for the record of a job that is not in memory. It is limited because heartbeats, submissions and cancellations share the processor with
 /// queries.
 const WAITING_QUERIES_PERCENT: usize = 20;
+/// The state service allows four times as many preconditions in a transaction as writes.
+const PRECONDITIONS_PER_WRITE: usize = 4;
 
 /// How long after its last response the state service counts as reachable: in heartbeats to peers, and
 /// in health checks of the load balancer.
@@ -59,6 +62,10 @@
     pub fresh_reads: FreshReads,
     /// Limits the users' queries that wait for the latest records.
     pub query_permits: Semaphore,
+    /// The reads of jobs that are not in memory.
+    pub job_lookups: JobLookups,
+    /// Limits the users' queries that wait for such reads.
+    pub lookup_permits: Semaphore,
     /// The delegations to other cells, if a cells file is configured.
     pub cells: Option<Cells>,
     controller: Mutex<Controller>,
@@ -98,7 +105,8 @@
 impl Node {
     /// Creates the state of a controller that does not serve yet.
     pub fn new(settings: Settings) -> Node {
-        let query_permits = Semaphore::new(settings.max_sockets * WAITING_QUERIES_PERCENT / 100);
+        let max_waiting = settings.max_sockets * WAITING_QUERIES_PERCENT / 100;
+        let max_comparisons = settings.store.max_transaction_writes * PRECONDITIONS_PER_WRITE;
         let clock = Clock::start();
         let http = Arc::new(Client::new(
             settings.max_sockets * IDLE_CONNECTIONS_PERCENT / 100,
@@ -128,7 +136,9 @@
             connections: Arc::new(Connections::new(connection_limit)),
             scheduler_wakeup: Notify::new(),
             fresh_reads: FreshReads::default(),
-            query_permits,
+            query_permits: Semaphore::new(max_waiting),
+            job_lookups: JobLookups::new(max_comparisons),
+            lookup_permits: Semaphore::new(max_waiting),
             cells,
             controller: Mutex::new(controller),
             rng: Mutex::new(rng),
--- a/crates/saltpitch/src/record_sync.rs
+++ b/crates/saltpitch/src/record_sync.rs
@@ -5,11 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use saltpitch_core::records::RecordChange;
+use saltpitch_core::records::{JobRead, RecordChange};
 use serde_json::value::RawValue;
 
 pub use self::follower::follow_changes;
 use crate::node::Node;
+use crate::store::ReadError;
+use crate::wire::store::Changes;
 
 /// How long a request waits for the latest records before it fails.
 const FRESH_READ_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -41,14 +43,30 @@
     }
 }
 
-/// Applies the changes after `from_revision` up to `last_revision`, and wakes the scheduler's task if a
-/// job has changed and this node leads.
-fn apply_changes(node: &Node, from_revision: u64, changes: Vec<RecordChange>, last_revision: u64) {
-    let (now, wall) = (node.now(), node.clock.wall_time());
-    let mut controller = node.controller();
-    let job_changed = controller.apply_changes(from_revision, changes, last_revision, now, wall);
-    if job_changed && controller.is_leader() {
-        node.scheduler_wakeup.notify_one();
+/// Applies changes, and wakes the scheduler's task if a job has changed and this node leads. A new job may depend on
+/// ended jobs that are no longer in memory: their records are read first.
+async fn apply_changes(node: &Node, from_revision: u64, changes: Changes) -> Result<(), ReadError> {
+    let mut reads: Vec<JobRead> = Vec::new();
+    loop {
+        let unknown = {
+            let mut controller = node.controller();
+            let unknown = controller.unknown_dependencies(&changes.changes, &reads);
+            if unknown.is_empty() {
+                let (now, wall) = (node.now(), node.clock.wall_time());
+                let Changes { changes, revision } = changes;
+                controller.apply_job_reads(&reads);
+                let job_changed =
+                    controller.apply_changes(from_revision, changes, revision, now, wall);
+                if job_changed && controller.is_leader() {
+                    node.scheduler_wakeup.notify_one();
+                }
+                return Ok(());
+            }
+            unknown
+        };
+        for id in &unknown {
+            reads.push(node.store.read_job(id).await?);
+        }
     }
 }
 
@@ -77,6 +95,5 @@
         // If the revision is too old, the next watch finds it as well and lists the records.
         return false;
     };
-    apply_changes(node, from_revision, changes.changes, changes.revision);
-    true
+    apply_changes(node, from_revision, changes).await.is_ok()
 }
--- a/crates/saltpitch/src/record_sync/follower.rs
+++ b/crates/saltpitch/src/record_sync/follower.rs
@@ -1,5 +1,6 @@
 //! The task that lists the records, announces this process and follows the changes.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -42,7 +43,7 @@
 struct RecordFollower {
     node: Arc<Node>,
     /// The listing under way, if one was interrupted and is still needed.
-    listing: Option<Listing>,
+    listing: Option<Box<Listing>>,
     /// Whether the log says that the listing under way was interrupted after its last page.
     is_interruption_logged: bool,
     listing_backoff: Backoff,
@@ -88,13 +89,16 @@
     async fn watch_once(&mut self, wait: Duration) {
         let node = self.node.clone();
         let from_revision = node.controller().records().revision;
-        match node.store.watch(from_revision, wait).await {
-            Ok(changes) => {
+        let applied = match node.store.watch(from_revision, wait).await {
+            Ok(changes) => apply_changes(&node, from_revision, changes).await,
+            Err(error) => Err(error),
+        };
+        match applied {
+            Ok(()) => {
                 self.failed_watches = 0;
                 // The records in memory are up to date again without the listing.
                 self.listing = None;
                 self.is_interruption_logged = false;
-                apply_changes(&node, from_revision, changes.changes, changes.revision);
                 // Each watch counts towards the service's request rate.
                 tokio::time::sleep(node.store.pace(WATCH_SHARE)).await;
             }
@@ -131,15 +135,22 @@
     /// end. Returns false if a request failed, or if the records have the layout of an earlier version.
     async fn continue_listing(&mut self) -> bool {
         let clock = self.node.clock;
+        let max_ended_jobs = self.node.controller().config().max_ended_jobs;
         let mut listing = self
             .listing
             .take()
-            .unwrap_or_else(|| Listing::new(clock, log_unreadable));
+            .unwrap_or_else(|| Box::new(Listing::new(clock, max_ended_jobs, log_unreadable)));
         let pages_before = listing.page_count();
-        let result = listing.read_to_end(&self.node.store).await;
-        let Err(error) = result else {
-            return self.replace_records(listing);
-        };
+        let mut result = listing.read_to_end(&self.node.store).await;
+        while result.is_ok() {
+            let (unfinished, unknown) = match self.try_replace_records(listing) {
+                Replacement::Done(is_replaced) => return is_replaced,
+                Replacement::Missing(listing, unknown) => (listing, unknown),
+            };
+            listing = unfinished;
+            result = listing.read_jobs(&self.node.store, &unknown).await;
+        }
+        let Err(error) = result else { return false };
         if listing.page_count() > pages_before {
             self.listing_backoff.reset();
             self.is_interruption_logged = false;
@@ -161,29 +172,42 @@
         false
     }
 
-    fn replace_records(&mut self, listing: Listing) -> bool {
+    /// Replaces the records in memory by those of the listing, unless outcomes of ended jobs are missing.
+    fn try_replace_records(&mut self, listing: Box<Listing>) -> Replacement {
         let node = &self.node;
+        let (now, wall) = (node.now(), node.clock.wall_time());
+        let mut controller = node.controller();
+        let unknown = controller.unknown_outcomes(listing.records(), listing.job_reads());
+        if !unknown.is_empty() {
+            return Replacement::Missing(listing, unknown);
+        }
         tracing::info!(
-            "store: {} records listed, {} pages in {:.1} s",
+            "store: {} records listed, {} pages in {:.1} s; {} live jobs and {} ended ones are kept",
             listing.record_count(),
             listing.page_count(),
-            listing.elapsed().as_secs_f64()
+            listing.elapsed().as_secs_f64(),
+            listing.records().jobs.len(),
+            listing.records().ended_jobs().len(),
         );
-        let (now, wall) = (node.now(), node.clock.wall_time());
-        let replaced = node
-            .controller()
-            .replace_records(listing.into_records(), now, wall);
-        if let Err(error) = replaced {
+        if let Err(error) = controller.replace_records(listing.into_records(), now, wall) {
             tracing::error!("{error}");
-            return false;
+            return Replacement::Done(false);
         }
         node.scheduler_wakeup.notify_one();
         self.listing_backoff.reset();
         self.is_interruption_logged = false;
-        true
+        Replacement::Done(true)
     }
 }
 
+/// The result of an attempt to replace the records in memory by those of a listing.
+enum Replacement {
+    /// The attempt has ended; whether the records are replaced.
+    Done(bool),
+    /// The records of these ended jobs have to be read first.
+    Missing(Box<Listing>, BTreeSet<String>),
+}
+
 fn log_unreadable(key: &str, error: &RecordError) {
     tracing::error!("record {key} is unreadable and was skipped: {error}");
 }
--- a/crates/saltpitch/src/server.rs
+++ b/crates/saltpitch/src/server.rs
@@ -11,7 +11,7 @@
 use crate::connection_limit::{listen, LimitedAcceptor};
 use crate::node::Node;
 use crate::settings::Settings;
-use crate::{cells, cloud_sync, effects, leadership, peer, record_sync};
+use crate::{cells, cloud_sync, effects, job_lookups, leadership, peer, record_sync};
 
 /// A connection of a user or agent without traffic for this long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(300);
@@ -45,6 +45,7 @@
     tokio::spawn(peer::serve(node.clone(), peer_listener));
     tokio::spawn(record_sync::follow_changes(node.clone()));
     tokio::spawn(record_sync::serve_fresh_reads(node.clone()));
+    tokio::spawn(job_lookups::serve_job_lookups(node.clone()));
     peer::spawn_heartbeats(node);
     tokio::spawn(cloud_sync::refresh_catalog(node.clone()));
     tokio::spawn(leadership::hold_leadership(node.clone()));
--- a/crates/saltpitch/src/settings.rs
+++ b/crates/saltpitch/src/settings.rs
@@ -14,6 +14,7 @@
 use saltpitch_core::controller::{ControllerConfig, PeerIdentity};
 use saltpitch_core::policy::Policy;
 use saltpitch_core::quota::TeamLimits;
+use saltpitch_core::records::DEFAULT_MAX_ENDED_JOBS;
 use saltpitch_core::scheduler::{Objective, SchedulerConfig};
 use saltpitch_core::Micros;
 use serde::Deserialize;
@@ -219,6 +220,7 @@
             peers: self.peers.iter().map(identity).collect(),
             scheduler: self.scheduler_config(),
             knows_delegations: self.cells.is_some(),
+            max_ended_jobs: DEFAULT_MAX_ENDED_JOBS,
         }
     }
 
--- a/crates/saltpitch/src/store/listing.rs
+++ b/crates/saltpitch/src/store/listing.rs
@@ -1,8 +1,9 @@
 //! A listing of all records, which continues where it stopped when a request of it fails.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use saltpitch_core::records::{RecordCache, RecordChange, RecordError};
+use saltpitch_core::records::{job_id, job_key, JobRead, RecordCache, RecordChange, RecordError};
 use saltpitch_core::Micros;
 
 use super::{ReadError, StoreClient};
@@ -26,7 +27,8 @@
     Outdated(ReadError),
 }
 
-/// The records that a listing has read so far.
+/// The records that a listing has read so far. It keeps no more of the ended jobs than the copy of the records that it
+/// will replace.
 pub struct Listing {
     clock: Clock,
     started_at: Micros,
@@ -39,6 +41,8 @@
     record_count: usize,
     caught_up_at: Micros,
     unanswered_catch_ups: u32,
+    /// The records of ended jobs that were read by their keys because they are needed and not kept.
+    job_reads: Vec<JobRead>,
     report_unreadable: ReportUnreadable,
 }
 
@@ -46,19 +50,24 @@
 pub type ReportUnreadable = fn(&str, &RecordError);
 
 impl Listing {
-    /// Creates a listing that has read nothing yet.
-    pub fn new(clock: Clock, report_unreadable: ReportUnreadable) -> Listing {
+    /// Creates a listing that has read nothing yet and keeps up to `max_ended_jobs` recently ended jobs.
+    pub fn new(
+        clock: Clock,
+        max_ended_jobs: usize,
+        report_unreadable: ReportUnreadable,
+    ) -> Listing {
         let now = clock.now();
         Listing {
             clock,
             started_at: now,
-            records: RecordCache::default(),
+            records: RecordCache::new(max_ended_jobs),
             last_key: String::new(),
             has_all_pages: false,
             page_count: 0,
             record_count: 0,
             caught_up_at: now,
             unanswered_catch_ups: 0,
+            job_reads: Vec::new(),
             report_unreadable,
         }
     }
@@ -78,11 +87,40 @@
         Duration::from_micros(self.clock.now().since(self.started_at).0)
     }
 
+    /// Returns the records read so far.
+    pub fn records(&self) -> &RecordCache {
+        &self.records
+    }
+
+    /// Returns the records of ended jobs that were read by their keys.
+    pub fn job_reads(&self) -> &[JobRead] {
+        &self.job_reads
+    }
+
     /// Returns the records. They are complete once [`Listing::read_to_end`] has succeeded.
-    pub fn into_records(self) -> RecordCache {
+    pub fn into_records(mut self) -> RecordCache {
+        for read in &self.job_reads {
+            if let Err(error) = self.records.put_job_read(read) {
+                (self.report_unreadable)(&job_key(&read.id), &error);
+            }
+        }
         self.records
     }
 
+    /// Reads the records of ended jobs by their keys.
+    pub async fn read_jobs(
+        &mut self,
+        store: &StoreClient,
+        ids: &BTreeSet<String>,
+    ) -> Result<(), ListingError> {
+        for id in ids {
+            let read = store.read_job(id).await;
+            self.job_reads
+                .push(read.map_err(ListingError::Interrupted)?);
+        }
+        Ok(())
+    }
+
     /// Reads the pages that are left and then the changes that were made meanwhile. After an error, the next call
     /// continues with the request that failed.
     pub async fn read_to_end(&mut self, store: &StoreClient) -> Result<(), ListingError> {
@@ -113,6 +151,7 @@
         for record in &page.records {
             self.apply(record);
         }
+        self.records.trim_listing();
         Ok(())
     }
 
@@ -126,6 +165,7 @@
             self.apply(change);
         }
         self.records.revision = self.records.revision.max(changes.revision);
+        self.records.trim_listing();
         self.caught_up_at = self.clock.now();
         self.unanswered_catch_ups = 0;
         Ok(())
@@ -135,7 +175,9 @@
         match error {
             ReadError::RevisionTooOld => return ListingError::Outdated(error),
             ReadError::NoResponse(_) | ReadError::Unreadable(_) => self.unanswered_catch_ups += 1,
-            ReadError::OverBudget | ReadError::Status(_) => self.unanswered_catch_ups = 0,
+            ReadError::OverBudget | ReadError::Status(_) | ReadError::NotCompared(_) => {
+                self.unanswered_catch_ups = 0;
+            }
         }
         if self.unanswered_catch_ups >= MAX_UNANSWERED_CATCH_UPS {
             return ListingError::Outdated(error);
@@ -149,6 +191,9 @@
             return;
         };
         if let Err(error) = self.records.put(&change.key, value, change.revision) {
+            if job_id(&change.key).is_some() {
+                self.records.unreadable_job_found();
+            }
             (self.report_unreadable)(&change.key, &error);
         }
     }
--- a/crates/saltpitch/src/store/listing/tests.rs
+++ b/crates/saltpitch/src/store/listing/tests.rs
@@ -1,11 +1,15 @@
 //! Tests of a listing whose changes are followed meanwhile. That it continues after a refused page is tested with the
 //! real program in `tests/end_to_end/restart.rs`.
 
+use saltpitch_core::records::DEFAULT_MAX_ENDED_JOBS;
+
 use super::*;
 use crate::http::CallError;
 
 fn listing() -> Listing {
-    Listing::new(Clock::start(), |key, error| panic!("{key}: {error}"))
+    Listing::new(Clock::start(), DEFAULT_MAX_ENDED_JOBS, |key, error| {
+        panic!("{key}: {error}")
+    })
 }
 
 fn unanswered() -> ReadError {
--- a/crates/saltpitch/src/store/reads.rs
+++ b/crates/saltpitch/src/store/reads.rs
@@ -1,9 +1,12 @@
 //! Reads of the records: pages of a listing, and watches.
 
+use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::Method;
-use saltpitch_core::records::PREFIX;
+use saltpitch_core::records::{job_id, job_key, JobRead, PREFIX};
+use saltpitch_core::scheduler::{Precondition, Transaction, TransactionOutcome};
 
 use super::StoreClient;
 use crate::http::{CallError, Reply};
@@ -12,6 +15,7 @@
 
 /// The number of records requested per page of a listing.
 const PAGE_SIZE: usize = 1_000;
+const JOB_READ_TIMEOUT: Duration = Duration::from_millis(800);
 const LIST_TIMEOUT: Duration = Duration::from_secs(3);
 /// The time that the response to a watch may take beyond the time for which the service may hold it
 /// open.
@@ -32,6 +36,9 @@
     /// The revision is older than the service's history, so all records must be listed again.
     #[error("the revision is older than the history of changes")]
     RevisionTooOld,
+    /// A transaction that only compares had this outcome.
+    #[error("the comparison had the outcome {0:?}")]
+    NotCompared(TransactionOutcome),
     /// The response cannot be decoded.
     #[error("unreadable response: {0}")]
     Unreadable(#[from] DecodeError),
@@ -58,6 +65,55 @@
         }
     }
 
+    /// Reads the record of a job by its key. The read waits for the request budget, part of which it leaves to other
+    /// requests.
+    pub async fn read_job(&self, id: &str) -> Result<JobRead, ReadError> {
+        self.background_request().await;
+        let path = format!("/store/{}", job_key(id));
+        let reply = self
+            .call(Method::GET, &path, Vec::new(), JOB_READ_TIMEOUT)
+            .await
+            .map_err(ReadError::NoResponse)?;
+        let record = match reply.status {
+            200 => Some(wire::decode_record(&reply.body)?),
+            404 => None,
+            status => return Err(ReadError::Status(status)),
+        };
+        Ok(JobRead {
+            id: id.to_owned(),
+            record,
+        })
+    }
+
+    /// Returns those of the jobs that were accepted, or at least one of them if there are any, by a transaction that
+    /// writes nothing and requires that none of the records exists. It waits for the request budget like
+    /// [`StoreClient::read_job`].
+    pub async fn find_accepted_jobs(&self, ids: &[Arc<str>]) -> Result<Vec<Arc<str>>, ReadError> {
+        self.background_request().await;
+        let preconditions = ids.iter().map(|id| Precondition::new(job_key(id), 0));
+        let transaction = Transaction {
+            preconditions: preconditions.collect(),
+            writes: Vec::new(),
+        };
+        let outcome = self
+            .send_transaction(&transaction, None, JOB_READ_TIMEOUT)
+            .await;
+        let existing_keys = match outcome {
+            TransactionOutcome::Committed(_) => return Ok(Vec::new()),
+            TransactionOutcome::Conflict(keys) => keys,
+            outcome => return Err(ReadError::NotCompared(outcome)),
+        };
+        let existing: HashSet<&str> = existing_keys.iter().filter_map(|key| job_id(key)).collect();
+        let accepted = ids.iter().filter(|id| existing.contains(&***id));
+        let accepted: Vec<Arc<str>> = accepted.cloned().collect();
+        if accepted.is_empty() {
+            return Err(ReadError::NotCompared(TransactionOutcome::Conflict(
+                existing_keys,
+            )));
+        }
+        Ok(accepted)
+    }
+
     /// Reads the changes after a revision, and waits up to `wait` for the first one. The caller must
     /// pace watches that wait, since they are sent even if the request budget is exhausted. A watch with a `wait`
     /// of zero is sent once the budget allows it.
--- a/crates/saltpitch/src/store/transactions.rs
+++ b/crates/saltpitch/src/store/transactions.rs
@@ -54,7 +54,7 @@
         self.send_transaction(transaction, None, timeout).await
     }
 
-    async fn send_transaction(
+    pub(super) async fn send_transaction(
         &self,
         transaction: &Transaction,
         lease: Option<LeaseAttachment<'_>>,
--- a/crates/saltpitch/src/users.rs
+++ b/crates/saltpitch/src/users.rs
@@ -1,16 +1,18 @@
 //! Serves users' requests: submissions, queries and cancellations.
 
+mod progress;
 mod submission;
 
 use std::fmt::Display;
 use std::time::Duration;
 
-use saltpitch_core::job::JobState;
 use saltpitch_core::messages::{PeerRequest, PeerResponse, UserRequest};
-use saltpitch_core::records::{job_key, CancelStep, DelegationState, JobRecord};
+use saltpitch_core::records::{job_key, CancelStep, JobRecord};
 use saltpitch_core::scheduler::TransactionOutcome;
 use serde_json::Value;
 
+use self::progress::JobProgress;
+use crate::job_lookups::LookupError;
 use crate::node::Node;
 use crate::store::conditional_write;
 use crate::wire::users::{encode_error, encode_progress, encode_status, JobStatus};
@@ -63,20 +65,30 @@
     Requested,
 }
 
-/// The state of a job and of its tasks, as far as the records show it.
-#[derive(Clone, Copy, Debug)]
-struct JobProgress {
-    state: JobState,
-    running: u64,
-    done: u64,
-    /// Whether another cell has reported that the job runs there.
-    runs_in_other_cell: bool,
+/// Why a user's request gets no answer from this controller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+enum RequestError {
+    /// A peer may be able to answer.
+    #[error("not available")]
+    Unavailable,
+    /// Too many questions wait already. The request is refused instead of passed on to a peer, which would only have
+    /// more to do as well.
+    #[error("too many questions about jobs that ended long ago are waiting")]
+    Overloaded,
 }
 
-impl JobProgress {
-    fn status(self) -> JobStatus {
-        let running = self.running.max(u64::from(self.runs_in_other_cell));
-        JobStatus::new(self.state, running)
+impl From<Unavailable> for RequestError {
+    fn from(_: Unavailable) -> RequestError {
+        RequestError::Unavailable
+    }
+}
+
+impl From<LookupError> for RequestError {
+    fn from(error: LookupError) -> RequestError {
+        match error {
+            LookupError::Overloaded => RequestError::Overloaded,
+            LookupError::Unavailable => RequestError::Unavailable,
+        }
     }
 }
 
@@ -95,10 +107,15 @@
         &self,
         request: &UserRequest,
     ) -> Result<UserReply, Unavailable> {
-        match request {
+        let result = match request {
             UserRequest::Submit(body) => self.submit(body).await,
             UserRequest::Query(id) => self.query(id).await,
             UserRequest::Cancel(id) => self.cancel(id).await,
+        };
+        match result {
+            Ok(reply) => Ok(reply),
+            Err(RequestError::Unavailable) => Err(Unavailable),
+            Err(error @ RequestError::Overloaded) => Ok(UserReply::error(503, error)),
         }
     }
 
@@ -123,40 +140,16 @@
         Err(Unavailable)
     }
 
-    fn progress_in_memory(&self, id: &str) -> Option<JobProgress> {
-        let controller = self.controller();
-        let records = controller.records();
-        let state = records.job_state(id)?;
-        let (running, done) = records.task_counts(id);
-        let running = if state.is_final() { 0 } else { running };
-        let record = records.jobs.get(id).map(|entry| &entry.record);
-        let delegation = record.and_then(|record| record.delegation.as_ref());
-        let runs_in_other_cell = delegation.is_some_and(|d| d.state == DelegationState::Running);
-        Some(JobProgress {
-            state,
-            running,
-            done,
-            runs_in_other_cell,
-        })
-    }
-
-    /// Returns a job's progress; `None` if the job was never accepted. A final state never changes, so it is
-    /// taken from memory; anything else needs records that are at least as new as the request.
-    async fn progress(&self, id: &str) -> Result<Option<JobProgress>, Unavailable> {
-        let in_memory = self.progress_in_memory(id);
-        if in_memory.is_some_and(|progress| progress.state.is_final()) {
-            return Ok(in_memory);
-        }
-        if !self.read_latest_records().await {
-            return Err(Unavailable);
-        }
-        Ok(self.progress_in_memory(id))
-    }
-
-    async fn query(&self, id: &str) -> Result<UserReply, Unavailable> {
+    async fn query(&self, id: &str) -> Result<UserReply, RequestError> {
         let in_memory = self.progress_in_memory(id);
         let is_final = in_memory.is_some_and(|progress| progress.state.is_final());
-        let permit = self.query_permits.try_acquire();
+        // Queries about live jobs are not refused because of those about jobs that ended long ago.
+        let permits = if in_memory.is_none() && !self.keeps_all_ended_jobs() {
+            &self.lookup_permits
+        } else {
+            &self.query_permits
+        };
+        let permit = permits.try_acquire();
         if permit.is_err() && !is_final {
             // Refused instead of queued: more waiting queries would only delay all of them.
             return Ok(UserReply::error(503, "too many queries are waiting"));
@@ -169,7 +162,7 @@
         Ok(UserReply::new(200, body))
     }
 
-    async fn cancel(&self, id: &str) -> Result<UserReply, Unavailable> {
+    async fn cancel(&self, id: &str) -> Result<UserReply, RequestError> {
         for _ in 0..CANCEL_ATTEMPTS {
             let Some(progress) = self.progress(id).await? else {
                 return Ok(UserReply::no_such_job());
@@ -183,14 +176,14 @@
                 }
                 // The record has changed since it was read: read it again.
                 CancellationOutcome::Transaction(TransactionOutcome::Conflict(_)) => {}
-                CancellationOutcome::Transaction(_) => return Err(Unavailable),
+                CancellationOutcome::Transaction(_) => return Err(RequestError::Unavailable),
                 CancellationOutcome::Requested => {
                     let reason = "the cell that has the job is asked to cancel it; retry later";
                     return Ok(UserReply::error(503, reason));
                 }
             }
         }
-        Err(Unavailable)
+        Err(RequestError::Unavailable)
     }
 
     /// Writes a job's cancellation, or the request for it, to the job's record. Completion and cancellation are
--- a/crates/saltpitch/src/users/submission.rs
+++ b/crates/saltpitch/src/users/submission.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use saltpitch_core::job::{JobKind, JobSpec};
+use saltpitch_core::job::{JobKind, JobSpec, JobState};
 use saltpitch_core::records::{job_key, JobRecord};
 use saltpitch_core::scheduler::TransactionOutcome;
 use serde_json::Value;
 
-use super::{Unavailable, UserReply};
+use super::{RequestError, Unavailable, UserReply};
 use crate::node::Node;
 use crate::store::conditional_write;
 use crate::wire::users::{decode_job_id, decode_submission, encode_status, JobStatus};
@@ -20,7 +20,7 @@
     /// The submission is invalid; the reply says why.
     Refused(UserReply),
     /// The controller cannot answer now.
-    Unavailable,
+    Failed(RequestError),
 }
 
 impl SubmissionError {
@@ -29,15 +29,15 @@
     }
 }
 
-impl From<Unavailable> for SubmissionError {
-    fn from(_: Unavailable) -> SubmissionError {
-        SubmissionError::Unavailable
+impl<E: Into<RequestError>> From<E> for SubmissionError {
+    fn from(error: E) -> SubmissionError {
+        SubmissionError::Failed(error.into())
     }
 }
 
 impl Node {
     /// Accepts a job. Submission is idempotent: if the job is known already, the answer is its status.
-    pub(super) async fn submit(&self, body: &[u8]) -> Result<UserReply, Unavailable> {
+    pub(super) async fn submit(&self, body: &[u8]) -> Result<UserReply, RequestError> {
         let body: Value = match serde_json::from_slice(body) {
             Ok(body) => body,
             Err(error) => return Ok(UserReply::error(400, format!("not JSON: {error}"))),
@@ -56,34 +56,50 @@
                 Some(progress) => UserReply::status(id, progress.status()),
                 None => refusal,
             }),
-            Err(SubmissionError::Unavailable) => Err(Unavailable),
+            Err(SubmissionError::Failed(error)) => Err(error),
         }
     }
 
     /// Returns the answer to a submission of a job that has a record already.
-    async fn known_job_reply(&self, id: &str) -> Result<UserReply, Unavailable> {
-        let progress = self.progress(id).await?.ok_or(Unavailable)?;
+    async fn known_job_reply(&self, id: &str) -> Result<UserReply, RequestError> {
+        let progress = self.progress(id).await?.ok_or(RequestError::Unavailable)?;
         Ok(UserReply::status(id, progress.status()))
     }
 
     async fn check_submission(&self, id: &str, body: &Value) -> Result<JobSpec, SubmissionError> {
-        let spec = decode_submission(body).map_err(|error| SubmissionError::refused(400, error))?;
+        let mut spec =
+            decode_submission(body).map_err(|error| SubmissionError::refused(400, error))?;
         let catalog = self.controller().catalog().cloned().ok_or(Unavailable)?;
         spec.can_ever_run(&catalog, &self.settings.teams)
             .map_err(|reason| SubmissionError::refused(422, reason))?;
-        self.check_dependencies(id, &spec).await?;
+        self.check_dependencies(id, &mut spec).await?;
         Ok(spec)
     }
 
-    /// Checks that the jobs on which this one depends were accepted and can complete. If one of them is unknown,
-    /// the latest records are read first, since it may have been accepted by another controller just now.
-    async fn check_dependencies(&self, id: &str, spec: &JobSpec) -> Result<(), SubmissionError> {
-        if self.unknown_dependency(spec).is_some() && !self.read_latest_records().await {
-            return Err(SubmissionError::Unavailable);
+    /// Checks that the jobs on which this one depends were accepted and can complete. If one of them is not in memory,
+    /// the latest records are read first, since it may have been accepted by another controller just now. If it is
+    /// not there either, it may have ended long ago, and its record is read.
+    async fn check_dependencies(
+        &self,
+        id: &str,
+        spec: &mut JobSpec,
+    ) -> Result<(), SubmissionError> {
+        if !self.unknown_dependencies(spec).is_empty() && !self.read_latest_records().await {
+            return Err(Unavailable.into());
         }
-        if let Some(name) = self.unknown_dependency(spec) {
-            let reason = format!("field `waits_on` names {name}, which was never accepted");
-            return Err(SubmissionError::refused(422, reason));
+        let unknown = self.unknown_dependencies(spec);
+        if !self.keeps_all_ended_jobs() {
+            self.job_lookups.prepare(unknown.iter().map(String::as_str));
+        }
+        for name in &unknown {
+            let Some(progress) = self.progress(name).await? else {
+                let reason = format!("field `waits_on` names {name}, which was never accepted");
+                return Err(SubmissionError::refused(422, reason));
+            };
+            if progress.state == JobState::Done {
+                // Nothing is left to wait for, and no controller has to read the record again.
+                spec.dependencies.retain(|dependency| dependency != name);
+            }
         }
         if let Some(name) = self.service_dependency(spec) {
             tracing::info!("{id} is refused: it waits on {name}, a service, which never completes");
@@ -93,11 +109,13 @@
         Ok(())
     }
 
-    fn unknown_dependency(&self, spec: &JobSpec) -> Option<String> {
+    /// Returns the jobs on which this one depends and that are not in memory.
+    fn unknown_dependencies(&self, spec: &JobSpec) -> Vec<String> {
         let controller = self.controller();
-        let jobs = &controller.records().jobs;
-        let mut dependencies = spec.dependencies.iter();
-        dependencies.find(|name| !jobs.contains_key(*name)).cloned()
+        let records = controller.records();
+        let dependencies = spec.dependencies.iter();
+        let unknown = dependencies.filter(|name| records.job(name).is_none());
+        unknown.cloned().collect()
     }
 
     fn service_dependency(&self, spec: &JobSpec) -> Option<String> {
@@ -111,9 +129,9 @@
     }
 
     /// Writes the record of a new job.
-    async fn create_job(&self, id: &str, spec: JobSpec) -> Result<UserReply, Unavailable> {
+    async fn create_job(&self, id: &str, spec: JobSpec) -> Result<UserReply, RequestError> {
         let record = JobRecord::accepted(self.clock.wall_time(), Arc::new(spec));
-        let value = serde_json::to_string(&record).map_err(|_| Unavailable)?;
+        let value = serde_json::to_string(&record).map_err(|_| RequestError::Unavailable)?;
         if value.len() > self.settings.store.max_value_bytes {
             return Ok(UserReply::error(
                 400,
@@ -127,7 +145,7 @@
                 Ok(UserReply::new(201, encode_status(id, JobStatus::Pending)))
             }
             TransactionOutcome::Conflict(_) => self.known_job_reply(id).await,
-            _ => Err(Unavailable),
+            _ => Err(RequestError::Unavailable),
         }
     }
 }
--- a/crates/saltpitch/src/wire/store.rs
+++ b/crates/saltpitch/src/wire/store.rs
@@ -101,6 +101,12 @@
     })
 }
 
+/// Decodes the record at one key, with its revision.
+pub fn decode_record(body: &[u8]) -> Result<(Box<RawValue>, u64), DecodeError> {
+    let raw: RawRow = serde_json::from_slice(body)?;
+    Ok((raw.v, raw.entry_no))
+}
+
 /// Decodes the answer to a watch. If one of the changes is malformed, the whole answer is refused.
 pub fn decode_changes(body: &[u8]) -> Result<Changes, DecodeError> {
     let raw: RawChanges = serde_json::from_slice(body)?;
--- a/crates/saltpitch/tests/end_to_end/main.rs
+++ b/crates/saltpitch/tests/end_to_end/main.rs
@@ -2,6 +2,7 @@
 //! the published protocols. The wait bounds only keep a test from hanging; they assert no response time.
 
 mod election;
+mod ended_jobs;
 mod one_cell;
 mod restart;
 mod site;
--- a/crates/saltpitch/tests/end_to_end/restart.rs
+++ b/crates/saltpitch/tests/end_to_end/restart.rs
@@ -5,13 +5,12 @@
 
 use poem::http::Method;
 use saltpitch_core::job::JobKind;
-use saltpitch_core::records::{job_key, node_key};
-use saltpitch_core::scheduler::Write;
+use saltpitch_core::records::node_key;
 use saltpitch_core::token_bucket::TokenBucket;
 
 use crate::site::{
-    self, call, lock, submit, wait_for_status, wait_until_healthy, ControllerProcesses, SharedSite,
-    StoreFault, StoreRequest,
+    self, add_completed_jobs, call, lock, submit, wait_for_status, wait_until_healthy,
+    ControllerProcesses, SharedSite, StoreFault, StoreRequest,
 };
 
 /// The time without an answer after which a job counts as forgotten.
@@ -20,22 +19,6 @@
 /// The longest that a watch may wait, in milliseconds, while the controller's process is not announced.
 const MAX_ANNOUNCEMENT_WAIT_MS: u64 = 3_000;
 
-/// Puts the records of `count` completed jobs into the store, listed in pages of `page_rows`. Returns the id of the
-/// last one.
-fn add_completed_jobs(site: &SharedSite, count: usize, page_rows: usize) -> String {
-    let mut site = lock(site);
-    site.store_conditions.max_page_rows = page_rows;
-    let id = |number: usize| format!("job-{:07}", 1_000_000 + number);
-    for number in 0..count {
-        let write = Write {
-            key: job_key(&id(number)),
-            value: Some(r#"{"s":"done","t":0,"f":1796000000000000}"#.to_owned()),
-        };
-        site.store.txn(&[], &[write], None);
-    }
-    id(count - 1)
-}
-
 /// Returns the pages that were requested, by the key after which each begins.
 fn requested_pages(site: &SharedSite) -> Vec<String> {
     let site = lock(site);
--- a/crates/saltpitch/tests/end_to_end/site/jobs.rs
+++ b/crates/saltpitch/tests/end_to_end/site/jobs.rs
@@ -5,6 +5,8 @@
 use poem::http::Method;
 use saltpitch_core::catalog::Resources;
 use saltpitch_core::job::{JobKind, JobSpec, Priority};
+use saltpitch_core::records::job_key;
+use saltpitch_core::scheduler::Write;
 use saltpitch_core::Micros;
 use serde_json::{json, Value};
 
@@ -109,3 +111,19 @@
     })
     .await;
 }
+
+/// Puts the records of `count` completed jobs into the store, listed in pages of `page_rows`. Returns the id of the
+/// last one.
+pub fn add_completed_jobs(site: &SharedSite, count: usize, page_rows: usize) -> String {
+    let mut site = lock(site);
+    site.store_conditions.max_page_rows = page_rows;
+    let id = |number: usize| format!("job-{:07}", 1_000_000 + number);
+    for number in 0..count {
+        let write = Write {
+            key: job_key(&id(number)),
+            value: Some(r#"{"s":"done","t":0,"f":1796000000000000}"#.to_owned()),
+        };
+        site.store.txn(&[], &[write], None);
+    }
+    id(count - 1)
+}
--- a/crates/saltpitch/tests/end_to_end/site/mod.rs
+++ b/crates/saltpitch/tests/end_to_end/site/mod.rs
@@ -21,7 +21,7 @@
 use saltpitch_testkit::store::Store;
 
 pub use http::{call, free_addr, poll_until, wait_until_healthy};
-pub use jobs::{submit, wait_for_status, Job};
+pub use jobs::{add_completed_jobs, submit, wait_for_status, Job};
 pub use programs::ControllerProcesses;
 pub use reply::Reply;
 pub use store::{StoreConditions, StoreFault, StoreRequest};
--- a/crates/saltpitch/tests/end_to_end/site/programs.rs
+++ b/crates/saltpitch/tests/end_to_end/site/programs.rs
@@ -109,6 +109,18 @@
         }
     }
 
+    /// Returns the memory in bytes that a controller holds for itself, without the pages of its program; `None` if it
+    /// does not run.
+    pub fn held_memory(&self, n: usize) -> Option<u64> {
+        let id = self.children[n].as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("RssAnon:"))?;
+        let kilobytes: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+        Some(kilobytes * 1024)
+    }
+
     /// Kills a controller without a graceful shutdown.
     pub fn kill(&mut self, n: usize) {
         if let Some(mut child) = self.children[n].take() {
--- a/crates/saltpitch/tests/end_to_end/site/store.rs
+++ b/crates/saltpitch/tests/end_to_end/site/store.rs
@@ -18,6 +18,8 @@
 
 /// The most records on a page of a listing.
 const MAX_PAGE_ROWS: usize = 1_000;
+/// The path of a single key, without the key.
+const KEY_PATH: &str = "/store/";
 /// How long a request waits that gets no answer; longer than any time limit of the program.
 const NO_ANSWER_DELAY: Duration = Duration::from_secs(30);
 
@@ -44,6 +46,16 @@
         is_page.then(|| query_parameter(&self.uri, "from").unwrap_or_default())
     }
 
+    /// Returns the key that is read; `None` if this is not a read of a single key.
+    pub fn read_key(&self) -> Option<&str> {
+        self.uri.strip_prefix(KEY_PATH)
+    }
+
+    /// Returns whether this is a transaction that only compares revisions.
+    pub fn is_comparison(&self) -> bool {
+        self.uri == "/txn" && self.body["writes"].as_array().is_some_and(Vec::is_empty)
+    }
+
     /// Returns whether this is a transaction that writes the key.
     pub fn writes_key(&self, key: &str) -> bool {
         let mut writes = self.body["writes"].as_array().into_iter().flatten();
@@ -156,6 +168,9 @@
     let max_page_rows = site.store_conditions.max_page_rows;
     let store = &mut site.store;
     store.tick(now);
+    if let Some(key) = path.strip_prefix(KEY_PATH) {
+        return read(store, key);
+    }
     match path {
         "/store" => list(store, &uri, max_page_rows),
         "/txn" => commit(store, &body),
@@ -206,6 +221,18 @@
     store.changes(from).map(change).collect()
 }
 
+/// Replies with the value of one key.
+fn read(store: &Store, key: &str) -> Reply {
+    let Some(entry) = store.keys.get(key) else {
+        return Reply::new(404, json!({"ledger_no": store.revision}));
+    };
+    let value: Value = serde_json::from_str(&entry.value).expect("the value is JSON");
+    Reply::new(
+        200,
+        json!({"path": key, "v": value, "entry_no": entry.revision}),
+    )
+}
+
 /// Replies with one page of the keys.
 fn list(store: &Store, uri: &str, max_rows: usize) -> Reply {
     let first = match query_parameter(uri, "from") {
