Forget images that no machine has in the leader's index of machines

Users name a new image with each release, and the leader kept an entry with a zero for each image that any machine ever had.

Cause: `MachineIndex::images_changed` lowered the count and left the entry. Evidence: with the old code the new test `an_image_that_no_machine_has_is_not_kept` ends with 1,000 entries. Now an entry goes with the last machine; the largest count, the only value that is read, is the same.

--- a/crates/saltpitch-core/src/machine_index.rs
+++ b/crates/saltpitch-core/src/machine_index.rs
@@ -341,11 +341,25 @@
             *zones.entry(zone.clone()).or_default() += 1;
         }
         for image in &changes.removed {
-            let zones = self.image_holders.get_mut(image);
-            if let Some(count) = zones.and_then(|zones| zones.get_mut(zone)) {
-                *count = count.saturating_sub(1);
+            self.remove_image_holder(image, zone);
+        }
+    }
+
+    /// Counts one machine less with an image in this zone. Images that no machine has are not kept: users name new
+    /// ones with each of their releases.
+    fn remove_image_holder(&mut self, image: &str, zone: &Arc<str>) {
+        let Some(zones) = self.image_holders.get_mut(image) else {
+            return;
+        };
+        if let Some(count) = zones.get_mut(zone) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                zones.remove(zone);
             }
         }
+        if zones.is_empty() {
+            self.image_holders.remove(image);
+        }
     }
 
     /// Counts a task of this priority that was placed on the machine.
@@ -364,3 +378,6 @@
         &mut group.tasks[priority_index(priority)]
     }
 }
+
+#[cfg(test)]
+mod tests;
