Forget classes of jobs that are no longer used

Users name classes, and a leader kept the averages of every class that it had ever seen, and looked through all of them for each new job.

Cause: `ClassTable` only grew. Now at most 512 classes without live jobs and objectives are kept; the one whose last job is longest ago gives its number to a new class. No job has that number then, so nothing refers to it.

--- a/crates/saltpitch-core/src/scheduler/job_changes.rs
+++ b/crates/saltpitch-core/src/scheduler/job_changes.rs
@@ -151,7 +151,7 @@
             || records.job_state(id) == Some(JobState::Cancelled);
         let classes = &mut self.job_table.classes;
         let class = classes.number_of(&spec.class, &self.config.objectives);
-        classes.note_job(class, spec.tasks);
+        classes.job_added(class, spec.tasks);
         let tasks = spec.tasks as usize;
         let submitted = now.since(wall.since(entry.record.submitted_at));
         Job {
--- a/crates/saltpitch-core/src/scheduler/job_table/classes.rs
+++ b/crates/saltpitch-core/src/scheduler/job_table/classes.rs
@@ -4,6 +4,8 @@
 
 /// The weight of a new job in the moving average of its class's task counts. The first job sets the average.
 const MEAN_TASKS_WEIGHT: f64 = 0.03;
+/// The most classes without live jobs and objectives whose averages are kept.
+const MAX_IDLE_CLASSES: usize = 512;
 /// The weight of one task in the moving average of its class's run time ratio.
 const RUN_TIME_WEIGHT: f64 = 0.05;
 
@@ -13,9 +15,32 @@
     objectives: Vec<ObjectiveTarget>,
     run_time_ratio: f64,
     mean_tasks: f64,
+    /// The number of jobs of this class that have not ended.
+    live_jobs: usize,
+    /// The number of the last job of this class, counted over all classes.
+    last_job: u64,
 }
 
 impl Class {
+    fn new(name: &str, objectives: &[Objective]) -> Class {
+        let of_class = objectives
+            .iter()
+            .filter(|objective| objective.class == name);
+        Class {
+            name: name.to_owned(),
+            objectives: of_class.map(|objective| objective.target).collect(),
+            run_time_ratio: 1.0,
+            mean_tasks: 0.0,
+            live_jobs: 0,
+            last_job: 0,
+        }
+    }
+
+    /// Returns whether nothing but its averages is lost if the class is forgotten.
+    fn is_idle(&self) -> bool {
+        self.live_jobs == 0 && self.objectives.is_empty()
+    }
+
     /// Returns the service-level objectives of the class's jobs.
     pub(in crate::scheduler) fn objectives(&self) -> &[ObjectiveTarget] {
         &self.objectives
@@ -32,10 +57,12 @@
     }
 }
 
-/// All classes, indexed by the number that is stored in their jobs.
+/// The classes, indexed by the number that is stored in their jobs. Users name classes, so those that are no longer
+/// used are forgotten and their numbers are used again.
 #[derive(Default)]
 pub(in crate::scheduler) struct ClassTable {
     classes: Vec<Class>,
+    job_count: u64,
 }
 
 impl ClassTable {
@@ -49,18 +76,28 @@
         if let Some(number) = known {
             return number;
         }
-        let of_class = objectives
-            .iter()
-            .filter(|objective| objective.class == name);
-        self.classes.push(Class {
-            name: name.to_owned(),
-            objectives: of_class.map(|objective| objective.target).collect(),
-            run_time_ratio: 1.0,
-            mean_tasks: 0.0,
-        });
+        let class = Class::new(name, objectives);
+        if let Some(number) = self.forgettable_class() {
+            self.classes[number] = class;
+            return number;
+        }
+        self.classes.push(class);
         self.classes.len() - 1
     }
 
+    /// Returns the class whose last job is longest ago, if there are too many without live jobs.
+    fn forgettable_class(&self) -> Option<usize> {
+        let idle = || {
+            let classes = self.classes.iter().enumerate();
+            classes.filter(|(_, class)| class.is_idle())
+        };
+        if idle().count() < MAX_IDLE_CLASSES {
+            return None;
+        }
+        let oldest = idle().min_by_key(|(_, class)| class.last_job);
+        oldest.map(|(number, _)| number)
+    }
+
     /// Returns the class with this number.
     pub(in crate::scheduler) fn get(&self, number: usize) -> Option<&Class> {
         self.classes.get(number)
@@ -72,10 +109,13 @@
     }
 
     /// Records that a job with this number of tasks was submitted.
-    pub(in crate::scheduler) fn note_job(&mut self, number: usize, tasks: u32) {
+    pub(in crate::scheduler) fn job_added(&mut self, number: usize, tasks: u32) {
+        self.job_count += 1;
         let Some(class) = self.classes.get_mut(number) else {
             return;
         };
+        class.live_jobs += 1;
+        class.last_job = self.job_count;
         let weight = match class.mean_tasks > 0.0 {
             true => MEAN_TASKS_WEIGHT,
             false => 1.0,
@@ -83,6 +123,13 @@
         class.mean_tasks += (f64::from(tasks) - class.mean_tasks) * weight;
     }
 
+    /// Records that a job has ended.
+    pub(in crate::scheduler) fn job_removed(&mut self, number: usize) {
+        if let Some(class) = self.classes.get_mut(number) {
+            class.live_jobs = class.live_jobs.saturating_sub(1);
+        }
+    }
+
     /// Records a task's run time, given as a ratio to its owner's estimate.
     pub(in crate::scheduler) fn note_run_time(&mut self, number: usize, ratio: f64) {
         if let Some(class) = self.classes.get_mut(number) {
@@ -90,3 +137,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/saltpitch-core/src/scheduler/job_table/mod.rs
+++ b/crates/saltpitch-core/src/scheduler/job_table/mod.rs
@@ -86,6 +86,7 @@
         self.dequeue(number);
         let job = self.jobs.remove(&number)?;
         self.by_id.remove(&job.id);
+        self.classes.job_removed(job.class);
         self.ended.push(&job);
         Some(job)
     }
