--- a/crates/saltpitch-core/src/catalog.rs
+++ b/crates/saltpitch-core/src/catalog.rs
@@ -37,6 +37,15 @@
         }
     }
 
+    /// Returns the smaller of both amounts of each resource.
+    pub fn min(&self, other: &Resources) -> Resources {
+        Resources {
+            cpu: self.cpu.min(other.cpu),
+            gpu: self.gpu.min(other.gpu),
+            mem: self.mem.min(other.mem),
+        }
+    }
+
     /// Returns the difference, with zero for each resource of which `other` has more.
     pub fn minus(&self, other: &Resources) -> Resources {
         Resources {
