Forget cancelled jobs in the lists of jobs that wait for another one

While a job that others wait for went on, the leader kept the number of every job that was cancelled while it waited.

Cause: `DependencyGate::dependents` lost a job only when its dependency ended. Evidence: the new test `a_job_that_no_longer_waits_is_not_kept`, which needs the removal that was missing.

--- a/crates/saltpitch-core/src/scheduler/dependency_gate.rs
+++ b/crates/saltpitch-core/src/scheduler/dependency_gate.rs
@@ -30,6 +30,24 @@
         self.dependents.entry(dependency).or_default().push(job);
     }
 
+    /// Removes a job that waits for this dependency no longer.
+    fn remove_dependent(&mut self, dependency: &str, job: JobNumber) {
+        let Some(dependents) = self.dependents.get_mut(dependency) else {
+            return;
+        };
+        dependents.retain(|dependent| *dependent != job);
+        if dependents.is_empty() {
+            self.dependents.remove(dependency);
+        }
+    }
+
+    /// Removes a job that has ended from the dependents of all jobs that it still waited for.
+    pub(super) fn job_removed(&mut self, number: JobNumber, job: &Job) {
+        for dependency in &job.unmet_dependencies {
+            self.remove_dependent(dependency, number);
+        }
+    }
+
     /// Returns the jobs that wait for this one.
     pub(super) fn dependents_of(&self, id: &str) -> Vec<JobNumber> {
         self.dependents.get(id).cloned().unwrap_or_default()
@@ -164,3 +182,6 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/saltpitch-core/src/scheduler/record_commits.rs
+++ b/crates/saltpitch-core/src/scheduler/record_commits.rs
@@ -107,6 +107,7 @@
             // start.
             self.dependency_completed(&job.id, job.times.done_at.unwrap_or(now), now);
         }
+        self.dependencies.job_removed(number, &job);
         self.gang_barrier.leave(number);
         self.persistence.job_removed(number, &job);
     }
