Forget acknowledged cancellations of jobs that have ended

A leader without the state service keeps the ids of jobs that peers report as cancelled and that it does not know. It kept those of jobs that it never learned as live for as long as it led.

Cause: an id was removed only when the job was added. Such a job can start nothing, so its cancellation is no longer needed.

--- a/crates/saltpitch-core/src/controller/record_sync.rs
+++ b/crates/saltpitch-core/src/controller/record_sync.rs
@@ -187,6 +187,7 @@
                     .scheduler
                     .job_changed(&self.records, id, now, wall);
             }
+            leadership.scheduler.records_replaced(&self.records);
         }
         self.records.set_max_ended_jobs(self.config.max_ended_jobs);
         self.records.trim();
--- a/crates/saltpitch-core/src/scheduler/job_changes.rs
+++ b/crates/saltpitch-core/src/scheduler/job_changes.rs
@@ -38,6 +38,13 @@
         }
     }
 
+    /// Handles the replacement of the records by a new listing: a cancellation that a peer has acknowledged is no
+    /// longer needed once the job has ended there.
+    pub fn records_replaced(&mut self, records: &RecordCache) {
+        let has_ended = |id: &str| matches!(records.job(id), Some(RecordedJob::Ended(_)));
+        self.job_table.retain_early_cancellations(has_ended);
+    }
+
     /// Handles a new or changed record of a job.
     pub fn job_changed(&mut self, records: &RecordCache, id: &str, now: Micros, wall: Micros) {
         match records.job(id) {
--- a/crates/saltpitch-core/src/scheduler/job_table/mod.rs
+++ b/crates/saltpitch-core/src/scheduler/job_table/mod.rs
@@ -136,6 +136,11 @@
         self.early_cancellations.insert(id.to_owned());
     }
 
+    /// Drops the early cancellations of jobs that have ended.
+    pub(super) fn retain_early_cancellations(&mut self, has_ended: impl Fn(&str) -> bool) {
+        self.early_cancellations.retain(|id| !has_ended(id));
+    }
+
     /// Returns whether a peer acknowledged the cancellation of this job before the job was known here, and
     /// removes the entry.
     pub(super) fn take_early_cancellation(&mut self, id: &str) -> bool {
