Forget the images of machines that were returned; tests of what a controller keeps

Each controller remembers which images machines have. A record of a task that arrived after its machine was returned added the machine again, for good.

Cause: `ImageLocations::record_use` was called for machines that are gone. Now images are noted only for machines that were not returned, and a listing keeps those of recorded machines alone.

--- a/crates/saltpitch-core/src/images.rs
+++ b/crates/saltpitch-core/src/images.rs
@@ -63,6 +63,16 @@
         }
     }
 
+    /// Keeps only the machines for which `is_kept` returns true.
+    pub fn retain_machines(&mut self, is_kept: impl Fn(&str) -> bool) {
+        self.machines.retain(|machine, _| is_kept(machine));
+    }
+
+    /// Returns the number of machines whose images are known.
+    pub fn machine_count(&self) -> usize {
+        self.machines.len()
+    }
+
     /// Removes a machine that was returned.
     pub fn remove_machine(&mut self, machine: &str) {
         self.machines.remove(machine);
--- a/crates/saltpitch-core/src/records/record_cache/carry_over.rs
+++ b/crates/saltpitch-core/src/records/record_cache/carry_over.rs
@@ -10,16 +10,17 @@
     /// Carries over the state that is not recorded: returned machines, cached images and the list of cancellations.
     /// A machine that is in the old copy but not in this one was returned in between.
     pub fn carry_over_from(&mut self, mut old: RecordCache) {
-        let recorded: HashSet<&str> = self.machine_names().collect();
+        let recorded: HashSet<String> = self.machine_names().map(str::to_owned).collect();
         let old_machines = old.machine_names();
         let returned: Vec<String> = old_machines
-            .filter(|name| !recorded.contains(name))
+            .filter(|name| !recorded.contains(*name))
             .map(str::to_owned)
             .collect();
         let old_cancellations = std::mem::take(&mut old.cancellations);
         self.append_to_cancellations(old_cancellations, &old);
         self.returned_machines = old.returned_machines;
         self.images = old.images;
+        self.images.retain_machines(|name| recorded.contains(name));
         for name in &returned {
             self.machine_gone(name);
         }
--- a/crates/saltpitch-core/src/records/record_cache/jobs.rs
+++ b/crates/saltpitch-core/src/records/record_cache/jobs.rs
@@ -115,7 +115,9 @@
         };
         let image_was_used = state == JobState::Done || spec.kind == JobKind::Service;
         let tasks = self.tasks.get(id).filter(|_| image_was_used);
-        for allocation in tasks.into_iter().flat_map(TaskStates::allocations) {
+        let returned = &self.returned_machines;
+        let allocations = tasks.into_iter().flat_map(TaskStates::allocations);
+        for allocation in allocations.filter(|task| !returned.contains(&task.machine)) {
             self.images.record_use(
                 &allocation.machine,
                 allocation.agent_epoch,
--- a/crates/saltpitch-core/src/records/record_cache/tasks.rs
+++ b/crates/saltpitch-core/src/records/record_cache/tasks.rs
@@ -101,7 +101,10 @@
                 let task = entry.0;
                 let state = entry_state(entry, record.number);
                 let completed_allocation = states.set(task, state);
-                if let (Some(allocation), Some(spec)) = (completed_allocation, spec) {
+                let returned = &self.returned_machines;
+                let on_machine = completed_allocation
+                    .filter(|allocation| !returned.contains(&allocation.machine));
+                if let (Some(allocation), Some(spec)) = (on_machine, spec) {
                     self.images.record_use(
                         &allocation.machine,
                         allocation.agent_epoch,
--- a/crates/saltpitch-core/tests/controller.rs
+++ b/crates/saltpitch-core/tests/controller.rs
@@ -36,9 +36,14 @@
 /// Returns the controller `n0` in the zone `east`, with one peer `n1` in `west`. It has read these records at
 /// revision 1 and announced itself.
 fn controller(stored: &[(&str, &str)]) -> Controller {
+    controller_that_keeps(DEFAULT_MAX_ENDED_JOBS, stored)
+}
+
+/// Returns the same controller, which keeps up to `max_ended_jobs` recently ended jobs.
+fn controller_that_keeps(max_ended_jobs: usize, stored: &[(&str, &str)]) -> Controller {
     let config = ControllerConfig {
         knows_delegations: false,
-        max_ended_jobs: DEFAULT_MAX_ENDED_JOBS,
+        max_ended_jobs,
         name: "n0".to_owned(),
         zone: "east".to_owned(),
         peers: vec![PeerIdentity {
@@ -294,6 +299,8 @@
     /// The revision and value of each key.
     keys: std::collections::BTreeMap<String, (u64, String)>,
     changes: Vec<RecordChange>,
+    /// Whether only tasks of active jobs are written, as a leader does.
+    places_only_active_jobs: bool,
 }
 
 impl History {
@@ -326,7 +333,12 @@
         let (job, machine) = (random.below(30), random.below(40));
         let job_key = format!("salt/j/job-{job:06}");
         let has_ended = self.has_ended(&job_key);
-        match random.below(6) {
+        let is_active = self.keys.contains_key(&job_key) && !has_ended;
+        let kind = random.below(6);
+        if matches!(kind, 1 | 4) && self.places_only_active_jobs && !is_active {
+            return;
+        }
+        match kind {
             0 if has_ended => {}
             0 => self.write(&job_key, Some(self.job(random.below(8)))),
             1 => {
@@ -397,63 +409,78 @@
     let mut all: Vec<String> = jobs.chain(machine_blocks).chain(segments).collect();
     all.sort();
     all.push(format!("segment {}", records.last_segment));
+    let tasks: std::collections::BTreeSet<&String> = records.tasks.keys().collect();
+    all.push(format!("tasks of {tasks:?}"));
     all
 }
 
+/// Lists the records page by page while they continue to change, and then applies the changes since the first page.
+/// Checks that the records equal those of a controller that has followed all changes.
+fn check_paged_listing(seed: u64, mut history: History, max_ended_jobs: usize) {
+    let mut random = RandomNumbers(seed);
+    let mut follower = controller_that_keeps(max_ended_jobs, &[]);
+    for _ in 0..300 {
+        history.make_random_change(&mut random);
+    }
+    follower.apply_changes(1, history.since(1), history.revision(), START, START);
+    let mut records = RecordCache::new(max_ended_jobs);
+    records.revision = history.revision();
+    let mut last_key = String::new();
+    loop {
+        let remaining = (
+            std::ops::Bound::Excluded(last_key.clone()),
+            std::ops::Bound::Unbounded,
+        );
+        let rows = history.keys.range::<String, _>(remaining).take(7);
+        let page: Vec<(String, (u64, String))> =
+            rows.map(|(k, v)| (k.clone(), v.clone())).collect();
+        let Some((last, _)) = page.last() else { break };
+        last_key.clone_from(last);
+        for (key, (revision, value)) in &page {
+            records
+                .put(key, &raw(value), *revision)
+                .expect("the record is readable");
+        }
+        records.trim_listing();
+        for _ in 0..random.below(6) {
+            history.make_random_change(&mut random);
+        }
+    }
+    let mut reloaded = controller_that_keeps(max_ended_jobs, &[]);
+    reloaded
+        .replace_records(records, START, START)
+        .expect("the records have the present layout");
+    let from = reloaded.records().revision;
+    reloaded.apply_changes(from, history.since(from), history.revision(), START, START);
+    let from = follower.records().revision;
+    follower.apply_changes(from, history.since(from), history.revision(), START, START);
+    let (reloaded, follower) = (reloaded.records(), follower.records());
+    assert_eq!(reloaded.revision, follower.revision, "seed {seed}");
+    assert_eq!(summary(reloaded), summary(follower), "seed {seed}");
+}
+
 /// A controller that has missed too many changes lists the records page by page while they continue to change. After
 /// it has applied the changes since the first page, its records must equal those of a controller that has followed
 /// all changes.
 #[test]
 fn a_paged_listing_catches_up_with_concurrent_changes() {
     for seed in 0..40 {
-        let mut random = RandomNumbers(seed);
-        let mut history = History::default();
-        let mut follower = controller(&[]);
-        for _ in 0..300 {
-            history.make_random_change(&mut random);
-        }
-        follower.apply_changes(1, history.since(1), history.revision(), START, START);
-        let mut records = RecordCache::default();
-        let first_page = history.revision();
-        let mut last_key = String::new();
-        loop {
-            let remaining = (
-                std::ops::Bound::Excluded(last_key.clone()),
-                std::ops::Bound::Unbounded,
-            );
-            let rows = history.keys.range::<String, _>(remaining).take(7);
-            let page: Vec<(String, (u64, String))> =
-                rows.map(|(k, v)| (k.clone(), v.clone())).collect();
-            let Some((last, _)) = page.last() else { break };
-            last_key.clone_from(last);
-            for (key, (revision, value)) in &page {
-                records
-                    .put(key, &raw(value), *revision)
-                    .expect("the record is readable");
-            }
-            for _ in 0..random.below(6) {
-                history.make_random_change(&mut random);
-            }
+        check_paged_listing(seed, History::default(), DEFAULT_MAX_ENDED_JOBS);
+    }
+}
+
+/// Guards against a listing that brings a job back which ended and left memory while the pages were read, or that keeps
+/// the tasks of such a job.
+#[test]
+fn a_paged_listing_that_evicts_ended_jobs_catches_up_with_concurrent_changes() {
+    for seed in 0..40 {
+        for max_ended_jobs in [0, 2] {
+            let history = History {
+                places_only_active_jobs: true,
+                ..History::default()
+            };
+            check_paged_listing(seed, history, max_ended_jobs);
         }
-        records.revision = first_page;
-        let mut reloaded = controller(&[]);
-        reloaded
-            .replace_records(records, START, START)
-            .expect("the records have the present layout");
-        let from = reloaded.records().revision;
-        reloaded.apply_changes(from, history.since(from), history.revision(), START, START);
-        let from = follower.records().revision;
-        follower.apply_changes(from, history.since(from), history.revision(), START, START);
-        assert_eq!(
-            reloaded.records().revision,
-            follower.records().revision,
-            "seed {seed}"
-        );
-        assert_eq!(
-            summary(reloaded.records()),
-            summary(follower.records()),
-            "seed {seed}"
-        );
     }
 }
 
