Look up a dependency whose end is in changes that were applied already

What callers would have seen: a job that waits forever. A read of the latest changes may overtake a watch; the watch's changes up to the copy's revision are then skipped, and a job whose end is among them may have left memory. A new job in the same answer that depends on it was added without that outcome.

Evidence: the new test `a_dependency_in_changes_that_are_known_already_may_have_left_memory` fails without the change.

--- a/crates/saltpitch-core/src/controller/record_sync.rs
+++ b/crates/saltpitch-core/src/controller/record_sync.rs
@@ -71,19 +71,23 @@
         if self.records.ended_jobs().is_complete() {
             return BTreeSet::new();
         }
-        let values = changes.iter().filter(|change| {
-            change.revision > self.records.revision && job_id(&change.key).is_some()
-        });
-        let records = values.filter_map(|change| change.value.as_deref()?.get().into());
-        let dependencies = records.flat_map(active_dependencies);
-        dependencies
-            .filter(|id| {
-                self.records.job(id).is_none()
-                    && !reads.iter().any(|read| read.id == *id)
-                    && !changes
-                        .iter()
-                        .any(|change| job_id(&change.key) == Some(id.as_str()))
-            })
+        // Changes up to the copy's revision are not applied again, so the job that they end may be evicted already.
+        let is_new = |change: &&RecordChange| change.revision > self.records.revision;
+        let new_job_changes = changes.iter().filter(is_new);
+        let changed_jobs: BTreeSet<&str> = new_job_changes
+            .clone()
+            .filter_map(|change| job_id(&change.key))
+            .collect();
+        let is_known = |id: &str| {
+            self.records.job(id).is_some()
+                || changed_jobs.contains(id)
+                || reads.iter().any(|read| read.id == id)
+        };
+        new_job_changes
+            .filter(|change| job_id(&change.key).is_some())
+            .filter_map(|change| change.value.as_deref())
+            .flat_map(|value| active_dependencies(value.get()))
+            .filter(|id| !is_known(id))
             .collect()
     }
 
--- a/crates/saltpitch-core/tests/retention.rs
+++ b/crates/saltpitch-core/tests/retention.rs
@@ -158,6 +158,37 @@
     assert_eq!(state, Some(JobState::Cancelled));
 }
 
+/// Guards against a job that waits forever because its dependency is in the same changes but left memory before they
+/// arrived: a read of the latest changes may overtake a watch.
+#[test]
+fn a_dependency_in_changes_that_are_known_already_may_have_left_memory() {
+    let mut controller = controller();
+    let revision = controller.records().revision;
+    let change = |id: &str, value: String, revision| RecordChange {
+        key: job_key(id),
+        value: Some(raw(&value)),
+        revision,
+    };
+    let dependency = job_id(1);
+    let end = change(&dependency, final_record(JobState::Done), revision + 1);
+    let later_ends = (0..10).map(|number| {
+        let value = final_record(JobState::Done);
+        change(&job_id(100 + number), value, revision + 2 + number)
+    });
+    let overtaking: Vec<RecordChange> = [end.clone()].into_iter().chain(later_ends).collect();
+    let mut all = overtaking.clone();
+    all.push(change(
+        "job-900000",
+        active_job(&[&dependency]),
+        revision + 20,
+    ));
+    assert!(controller.unknown_dependencies(&all, &[]).is_empty());
+    controller.apply_changes(revision, overtaking, revision + 15, START, START);
+    assert!(controller.records().job(&dependency).is_none());
+    let unknown = controller.unknown_dependencies(&all, &[]);
+    assert_eq!(Vec::from_iter(unknown), [dependency]);
+}
+
 /// Guards against an evicted job that comes back as live because an older change of it arrives again.
 #[test]
 fn an_older_change_does_not_bring_an_evicted_job_back() {
