--- a/crates/saltpitch-core/tests/retention.rs
+++ b/crates/saltpitch-core/tests/retention.rs
@@ -189,6 +189,23 @@
     assert_eq!(Vec::from_iter(unknown), [dependency]);
 }
 
+/// Guards against the tasks of an evicted job that are kept for good because a record of them arrives after its end.
+#[test]
+fn records_of_the_tasks_of_an_evicted_job_are_ignored() {
+    let mut controller = controller();
+    let revision = end_jobs(&mut controller, 1..100);
+    let segment = r#"{"n":7,"e":[["job-000001",[[0,1,"vm-000001",1,0]]]]}"#;
+    apply(&mut controller, "salt/l/7", segment, revision + 1);
+    let checkpoint = r#"{"l":7,"a":[1],"r":[[0,1]]}"#;
+    apply(
+        &mut controller,
+        "salt/c/job-000002/0",
+        checkpoint,
+        revision + 2,
+    );
+    assert!(controller.records().tasks.is_empty());
+}
+
 /// Guards against an evicted job that comes back as live because an older change of it arrives again.
 #[test]
 fn an_older_change_does_not_bring_an_evicted_job_back() {
