--- a/crates/saltpitch-testkit/src/histories.rs
+++ b/crates/saltpitch-testkit/src/histories.rs
@@ -41,31 +41,10 @@
     for number in 0..busy_s / 4 {
         simulation.run(seconds(number * 4))?;
         let id = format!("job-{seed:03}{number:04}");
-        let mut spec = simulation.draw_job();
-        // Some jobs depend on earlier ones, whatever state those are in.
-        if spec.kind != JobKind::Service && simulation.random_below(3) == 0 {
-            for _ in 0..1 + simulation.random_below(2) {
-                let at = simulation.random_below(ids.len() as u64) as usize;
-                let named = ids.get(at).filter(|id| simulation.jobs[*id].is_accepted);
-                let named = named.filter(|id| simulation.jobs[*id].spec.kind != JobKind::Service);
-                spec.dependencies.extend(named.cloned());
-            }
-        }
+        let spec = draw_dependent_job(&mut simulation, &ids);
         simulation.submit(&id, spec);
         ids.push(id);
-        // A random earlier job is cancelled or submitted again.
-        let at = simulation.random_below(ids.len() as u64) as usize;
-        let old = ids[at].clone();
-        match simulation.random_below(4) {
-            0 => {
-                simulation.cancel(&old);
-            }
-            1 => {
-                let spec = simulation.jobs[&old].spec.clone();
-                simulation.submit(&old, spec);
-            }
-            _ => {}
-        }
+        cancel_or_resubmit_any(&mut simulation, &ids);
     }
     simulation.heal();
     for id in &ids {
@@ -85,6 +64,39 @@
     Ok(simulation)
 }
 
+/// Draws a job. Some jobs depend on earlier ones, whatever state those are in.
+fn draw_dependent_job(simulation: &mut Simulation, earlier: &[String]) -> JobSpec {
+    let mut spec = simulation.draw_job();
+    if spec.kind == JobKind::Service || simulation.random_below(3) != 0 {
+        return spec;
+    }
+    for _ in 0..1 + simulation.random_below(2) {
+        let index = simulation.random_below(earlier.len() as u64) as usize;
+        let named = earlier.get(index).filter(|id| {
+            let job = &simulation.jobs[*id];
+            job.is_accepted && job.spec.kind != JobKind::Service
+        });
+        spec.dependencies.extend(named.cloned());
+    }
+    spec
+}
+
+/// Cancels a random job or submits it again, or does nothing.
+fn cancel_or_resubmit_any(simulation: &mut Simulation, ids: &[String]) {
+    let index = simulation.random_below(ids.len() as u64) as usize;
+    let id = &ids[index];
+    match simulation.random_below(4) {
+        0 => {
+            simulation.cancel(id);
+        }
+        1 => {
+            let spec = simulation.jobs[id].spec.clone();
+            simulation.submit(id, spec);
+        }
+        _ => {}
+    }
+}
+
 /// Checks that every accepted job has completed once the faults are over, and that no cancelled job runs.
 pub fn check_completed(simulation: &Simulation) -> Result<(), InvariantViolation> {
     let violation = |id: &str, text| {
--- a/crates/saltpitch-testkit/src/invariants.rs
+++ b/crates/saltpitch-testkit/src/invariants.rs
@@ -151,25 +151,7 @@
             format!("{id} was accepted but can never run"),
         );
     }
-    if let Some(since) = job.waiting_since {
-        let waited = simulation
-            .now
-            .since(since.max(simulation.site_healthy_since));
-        if waited > MAX_WAIT_WITH_ROOM {
-            let waited = waited.as_secs_f64();
-            let text = format!("{id} has waited for {waited:.0} s while machines have room for it");
-            return violation(Invariant::Starvation, text);
-        }
-    }
-    if job.is_accepted {
-        for (node, answered_at) in simulation.nodes.iter().zip(&job.last_answered_at) {
-            let since = (*answered_at).max(simulation.controllers_healthy_since);
-            if simulation.now.since(since) > ANSWER_WITHIN {
-                let text = format!("{} can't answer a status query about {id}", node.name);
-                return violation(Invariant::JobLost, text);
-            }
-        }
-    }
+    check_waits(simulation, id, job)?;
     let Some(entry) = simulation.store.keys.get(&job_key(id)) else {
         if job.is_accepted {
             let text = format!("{id} was accepted but has no record in the store");
@@ -199,6 +181,32 @@
     check_state(simulation, id, job, record.state)
 }
 
+/// Checks that a job does not wait for long while machines have room for it, and that each controller in service can
+/// answer about it.
+fn check_waits(simulation: &Simulation, id: &str, job: &UserJob) -> Result<(), InvariantViolation> {
+    let violation = |invariant, text| Err(InvariantViolation::new(invariant, text).of_job(id));
+    if let Some(since) = job.waiting_since {
+        let waited = simulation
+            .now
+            .since(since.max(simulation.site_healthy_since));
+        if waited > MAX_WAIT_WITH_ROOM {
+            let waited = waited.as_secs_f64();
+            let text = format!("{id} has waited for {waited:.0} s while machines have room for it");
+            return violation(Invariant::Starvation, text);
+        }
+    }
+    if job.is_accepted {
+        for (node, answered_at) in simulation.nodes.iter().zip(&job.last_answered_at) {
+            let since = (*answered_at).max(simulation.controllers_healthy_since);
+            if simulation.now.since(since) > ANSWER_WITHIN {
+                let text = format!("{} can't answer a status query about {id}", node.name);
+                return violation(Invariant::JobLost, text);
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Returns whether a controller is up and its records are those in the store.
 fn is_current(simulation: &Simulation, node: &Node) -> bool {
     node.is_up(simulation.now)
