Red test: copies of answered calls start done and cancelled tasks again

The test runs the real program on loopback: direct calls start a job that completes and one that is cancelled, the agents are told to forget both, and then every executed call is delivered once more, also after the leader was killed and restarted. The agents' stand-in remembers forgotten attempts and executed calls for it.

--- a/crates/saltpitch-testkit/src/agents.rs
+++ b/crates/saltpitch-testkit/src/agents.rs
@@ -1,6 +1,6 @@
 //! A simulated machine and its agent.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use saltpitch_core::agent::{Command, ExitCause, Heartbeat, TaskState, TaskStatus};
 use saltpitch_core::job::{JobKind, JobSpec};
@@ -72,6 +72,8 @@
     pub spot_notice: Option<Micros>,
     /// Its tasks by id and attempt.
     pub tasks: BTreeMap<(TaskId, u32), AgentTask>,
+    /// The attempts that it was told to forget in this epoch. A real agent does not know them any more.
+    pub forgotten_attempts: BTreeSet<(TaskId, u32)>,
     /// The node that it sends heartbeats to.
     pub target_node: usize,
     /// When its next heartbeat is due.
@@ -182,6 +184,7 @@
                     let key = ((job.to_string(), *task), *attempt);
                     if self.tasks.get(&key).is_some_and(AgentTask::has_exited) {
                         self.tasks.remove(&key);
+                        self.forgotten_attempts.insert(key);
                     }
                 }
             }
@@ -267,6 +270,7 @@
     pub fn check_lease(&mut self, times: &Times, now: Micros) {
         if now.since(self.lease_renewed_at) > times.agent_lease {
             self.tasks.clear();
+            self.forgotten_attempts.clear();
             self.agent_epoch += 1;
             self.sequence = 0;
             self.lease_renewed_at = now;
--- a/crates/saltpitch-testkit/src/simulation/cloud.rs
+++ b/crates/saltpitch-testkit/src/simulation/cloud.rs
@@ -1,6 +1,6 @@
 //! The cloud: scale-out requests and its list of machines.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use saltpitch_core::scheduler::{ListedMachine, ScaleOutOutcome};
 use saltpitch_core::Micros;
@@ -84,6 +84,7 @@
             lease_renewed_at: up_at,
             spot_notice: None,
             tasks: BTreeMap::new(),
+            forgotten_attempts: BTreeSet::new(),
             target_node,
             next_heartbeat_at: Micros::ZERO,
             pending_heartbeat: None,
--- a/crates/saltpitch/tests/end_to_end/main.rs
+++ b/crates/saltpitch/tests/end_to_end/main.rs
@@ -3,6 +3,7 @@
 
 mod election;
 mod ended_jobs;
+mod late_copies;
 mod one_cell;
 mod restart;
 mod site;
--- a/crates/saltpitch/tests/end_to_end/one_cell.rs
+++ b/crates/saltpitch/tests/end_to_end/one_cell.rs
@@ -44,7 +44,7 @@
     wait_for_status(api[1], SERVICE_ID, "running").await;
 
     // The leader is killed: completed jobs stay completed, and the other controller runs new jobs.
-    let leader = usize::from(!is_leader(&site, "n0"));
+    let leader = usize::from(!lock(&site).is_leader("n0"));
     let follower = 1 - leader;
     controllers.kill(leader);
     submit(&site, api[follower], "job-000004", JobKind::Array, 3).await;
@@ -111,12 +111,6 @@
     assert_eq!(reply.expect("the controller replies").status, 404);
 }
 
-/// Returns whether a controller is the leader according to the record in the store.
-fn is_leader(site: &SharedSite, node: &str) -> bool {
-    let leader = &lock(site).store.keys["salt/leader"].value;
-    leader.contains(&format!("\"{node}\""))
-}
-
 /// Lets the store refuse one controller only, and checks that this controller still serves its users through
 /// its peer. The caller runs this for both controllers, so that it covers the leader and the follower.
 async fn assert_a_controller_refused_by_the_store_serves_users(
--- a/crates/saltpitch/tests/end_to_end/site/agents.rs
+++ b/crates/saltpitch/tests/end_to_end/site/agents.rs
@@ -1,6 +1,7 @@
 //! The stand-ins for the agents: heartbeats, commands and running tasks.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use poem::http::Method;
@@ -12,8 +13,8 @@
 use super::http::call;
 use super::{lock, Reply, SharedSite, Site};
 
-/// The pause between the reply to a heartbeat and the next heartbeat.
-const HEARTBEAT_PAUSE: Duration = Duration::from_millis(200);
+/// The default pause between the reply to a heartbeat and the next heartbeat.
+pub const HEARTBEAT_PAUSE: Duration = Duration::from_millis(200);
 
 /// Answers a request that a controller sends to an agent directly.
 pub fn answer(site: &SharedSite, name: &str, uri: &str, body: &Value) -> Reply {
@@ -25,12 +26,46 @@
     if uri == "/show" {
         return Reply::new(200, next_heartbeat(&mut site, name));
     }
-    let is_same_epoch = body["watch"].as_u64() == Some(agent.agent_epoch);
-    let is_executed = is_same_epoch && execute(&mut site, name, &Commands::decode(body));
+    let call = ExecutedCall {
+        machine: name.to_owned(),
+        agent_epoch: body["watch"].as_u64(),
+        commands: Commands::decode(body),
+    };
+    let is_executed = execute_call(&mut site, &call);
+    if is_executed {
+        site.executed_calls.push(Arc::new(call));
+    }
     let status = if is_executed { 200 } else { 409 };
     Reply::new(status, next_heartbeat(&mut site, name))
 }
 
+/// A direct call that an agent has executed.
+pub struct ExecutedCall {
+    /// The name of the agent's machine.
+    pub machine: String,
+    /// The epoch that the commands are for.
+    pub agent_epoch: Option<u64>,
+    /// The commands.
+    pub commands: Commands,
+}
+
+/// Executes a direct call unless it is for another epoch or from an earlier term. Returns whether it was executed.
+fn execute_call(site: &mut Site, call: &ExecutedCall) -> bool {
+    let agent_epoch = site.agents[&call.machine].agent_epoch;
+    call.agent_epoch == Some(agent_epoch) && execute(site, &call.machine, &call.commands)
+}
+
+/// Delivers all direct calls that agents have executed so far once more, and returns how many there are. Nobody gets
+/// the answers.
+pub fn repeat_executed_calls(site: &SharedSite) -> usize {
+    let mut site = lock(site);
+    let calls = site.executed_calls.clone();
+    for call in &calls {
+        execute_call(&mut site, call);
+    }
+    calls.len()
+}
+
 /// Returns the next heartbeat of an agent as the protocol encodes it.
 fn next_heartbeat(site: &mut Site, name: &str) -> Value {
     let addr = site.agent_addresses[name].to_string();
@@ -68,7 +103,8 @@
         };
         let reply = call(node, Method::POST, "/v1/report", Some(heartbeat)).await;
         target = handle_heartbeat_reply(&mut lock(&site), &name, reply, target);
-        tokio::time::sleep(HEARTBEAT_PAUSE).await;
+        let pause = lock(&site).heartbeat_pause;
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/crates/saltpitch/tests/end_to_end/site/cloud.rs
+++ b/crates/saltpitch/tests/end_to_end/site/cloud.rs
@@ -126,6 +126,7 @@
         lease_renewed_at: now,
         spot_notice: None,
         tasks: Default::default(),
+        forgotten_attempts: Default::default(),
         target_node: 0,
         next_heartbeat_at: Micros::ZERO,
         pending_heartbeat: None,
--- a/crates/saltpitch/tests/end_to_end/site/mod.rs
+++ b/crates/saltpitch/tests/end_to_end/site/mod.rs
@@ -12,14 +12,15 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use saltpitch_core::job::JobSpec;
-use saltpitch_core::records::{job_key, JobRecord};
+use saltpitch_core::records::{job_key, JobRecord, LEADER_KEY};
 use saltpitch_core::Micros;
 use saltpitch_testkit::agents::Agent;
 use saltpitch_testkit::store::Store;
 
+pub use agents::{repeat_executed_calls, ExecutedCall};
 pub use http::{call, free_addr, poll_until, wait_until_healthy};
 pub use jobs::{add_completed_jobs, submit, wait_for_status, Job};
 pub use programs::ControllerProcesses;
@@ -51,6 +52,10 @@
     pub refused_controller: Option<usize>,
     /// How often each task completed, by job id and task index.
     pub completions: HashMap<(String, u32), u32>,
+    /// The pause between the reply to a heartbeat and the agent's next heartbeat.
+    pub heartbeat_pause: Duration,
+    /// The direct calls that agents have executed, in the order of their execution.
+    pub executed_calls: Vec<Arc<ExecutedCall>>,
 }
 
 /// A site that its stand-ins and the test share.
@@ -97,6 +102,12 @@
         serde_json::from_str(&entry.value).ok()
     }
 
+    /// Returns whether this controller is the leader on record.
+    pub fn is_leader(&self, node: &str) -> bool {
+        let record = self.store.keys.get(LEADER_KEY);
+        record.is_some_and(|entry| entry.value.contains(&format!("\"{node}\"")))
+    }
+
     /// Returns the agents of all machines that have not been returned.
     pub fn machines(&self) -> impl Iterator<Item = &Agent> {
         self.agents.values().filter(|agent| !agent.is_gone)
@@ -138,6 +149,8 @@
         store_conditions: StoreConditions::default(),
         refused_controller: None,
         completions: HashMap::new(),
+        heartbeat_pause: agents::HEARTBEAT_PAUSE,
+        executed_calls: Vec::new(),
     }));
     let shared = site.clone();
     serve(addresses.cloud, move |method, uri, body| {
