Forget ended attempts only under a fencing token above all earlier direct calls

Cause: an agent executes a direct call as long as token and epoch match, also a copy of one that it executed and answered, minutes later. Once it was told to forget an attempt, it no longer knows it, and the start in the copy runs it again. The leader took an answered call for settled, and the right that the call gave, its token, stayed in force for the whole term. Class: a right that outlives the action it was given for.

Fix: a term has a range of 2^28 tokens, and its number on record is the highest of them. A message that tells an agent to forget something carries an unused token, above those of all calls so far, so the agent refuses each of them from then on. It must have accepted that token to forget at all, so nothing rests on a delay, on what a leader remembers or on what an agent has missed. Answers to heartbeats do the forgetting; a direct call does it only for a task that it starts anew on the same machine, so that calls do not overtake answers with a higher token. An unanswered start is invalidated in the same way by the next message to its machine, where the whole term was raised before: one write of the term and a failed transaction in flight less. The term is raised only when a quarter of its tokens is left. A version with one token for each term takes the number after ours and stays above all our tokens, and we begin above its term.

Changed tests: the harness's leader holds a term of this version, and its agents show the token of the last answer; the newer term in controller.rs is the one that an older version would take.

--- a/crates/saltpitch-core/src/controller/agent_heartbeats.rs
+++ b/crates/saltpitch-core/src/controller/agent_heartbeats.rs
@@ -1,6 +1,7 @@
 //! Handling of agents' heartbeats: the leader answers them, and all other controllers redirect the agent.
 
 use crate::agent::{Command, Heartbeat};
+use crate::scheduler::AgentCommands;
 use crate::time::Micros;
 
 use super::{Controller, LossReason, Notice};
@@ -15,7 +16,7 @@
 pub enum HeartbeatAnswer {
     /// The agent's lease is renewed, and the agent is to execute these commands.
     Commands {
-        /// The fencing token of the leader.
+        /// The fencing token of the answer.
         fencing_token: u64,
         /// The commands, in the order of their execution.
         commands: Vec<Command>,
@@ -38,14 +39,17 @@
         let Some(leadership) = &mut self.leadership else {
             return rejection;
         };
-        let fencing_token = leadership.scheduler.term();
+        let term = leadership.scheduler.term();
         let seen_token = heartbeat.fencing_token;
         let machine = heartbeat.machine.clone();
         match leadership
             .scheduler
             .heartbeat_received(heartbeat, is_returned, now)
         {
-            Ok(commands) => HeartbeatAnswer::Commands {
+            Ok(AgentCommands {
+                fencing_token,
+                commands,
+            }) => HeartbeatAnswer::Commands {
                 fencing_token,
                 commands,
             },
@@ -55,7 +59,7 @@
                     fencing_token: seen_token,
                     reason,
                 });
-                if seen_token > fencing_token {
+                if seen_token > term {
                     self.lose_leadership(LossReason::NewerToken);
                 }
                 rejection
--- a/crates/saltpitch-core/src/controller/leader_election.rs
+++ b/crates/saltpitch-core/src/controller/leader_election.rs
@@ -5,7 +5,8 @@
 
 use crate::catalog::Catalog;
 use crate::leadership::{
-    self, election_delay, resignation, AgentReachability, CancellationAcks, ElectionAttempt,
+    self, election_delay, next_term, resignation, AgentReachability, CancellationAcks,
+    ElectionAttempt,
 };
 use crate::records::{TermRecord, TERM_KEY};
 use crate::scheduler::{Precondition, Scheduler, Transaction, Write};
@@ -241,7 +242,7 @@
     pub fn term_increment(&self, epoch: u64) -> Option<TermIncrement> {
         let scheduler = self.scheduler().filter(|_| self.epoch == epoch)?;
         let record = TermRecord {
-            term: scheduler.term() + 1,
+            term: next_term(scheduler.term()),
             node: self.config.name.clone(),
             incarnation: self.incarnation,
             earlier_leaders_fenced_at: self.records.term.value.earlier_leaders_fenced_at,
--- a/crates/saltpitch-core/src/leadership/election.rs
+++ b/crates/saltpitch-core/src/leadership/election.rs
@@ -1,6 +1,7 @@
 //! Builds the transactions by which a controller becomes leader or resigns, and computes when the earlier
 //! leaders are fenced, that is, when they can no longer answer any agent.
 
+use super::fencing_tokens::{has_earlier_term, next_term};
 use crate::records::{
     node_key, LeaderRecord, NodeRecord, RecordCache, TermRecord, LEADER_KEY, TERM_KEY,
 };
@@ -94,7 +95,7 @@
     });
     let previous = previous.filter(|process| !process.is_superseded(records));
     let term = TermRecord {
-        term: last.term + 1,
+        term: next_term(last.term),
         node: node.to_owned(),
         incarnation,
         earlier_leaders_fenced_at: match previous {
@@ -130,7 +131,7 @@
             ],
         },
         previous,
-        earlier_fenced_at: match last.term > 1 {
+        earlier_fenced_at: match has_earlier_term(last.term) {
             true => term_seen_at.plus(bound),
             false => Micros::ZERO,
         },
--- a/crates/saltpitch-core/src/leadership/mod.rs
+++ b/crates/saltpitch-core/src/leadership/mod.rs
@@ -3,6 +3,7 @@
 
 mod answer_bound;
 mod election;
+mod fencing_tokens;
 mod reachability;
 
 use crate::time::Micros;
@@ -12,6 +13,7 @@
     campaign, election_delay, is_leaderless, resignation, EarlierLeaders, ElectionAttempt,
     ProcessIdentity,
 };
+pub use fencing_tokens::{has_earlier_term, next_term, TokenRange, TOKENS_PER_TERM};
 pub use reachability::AgentReachability;
 
 /// The time after which the leadership lease in the state service expires unless the leader renews it.
--- a/crates/saltpitch-core/src/machine/agent_state.rs
+++ b/crates/saltpitch-core/src/machine/agent_state.rs
@@ -69,10 +69,10 @@
     }
 
     /// Records a fencing token that the agent showed. Returns whether that proves for the first time that the
-    /// agent ignores every leader before the one whose first term is `first_term`.
-    pub fn token_observed(&mut self, fencing_token: u64, first_term: u64, now: Micros) -> bool {
+    /// agent ignores every leader before the one whose lowest token is `first_token`.
+    pub fn token_observed(&mut self, fencing_token: u64, first_token: u64, now: Micros) -> bool {
         self.fencing_token = self.fencing_token.max(fencing_token);
-        if self.fenced_at.is_some() || self.fencing_token < first_term {
+        if self.fenced_at.is_some() || self.fencing_token < first_token {
             return false;
         }
         self.fenced_at = Some(now);
--- a/crates/saltpitch-core/src/machine/command_channel.rs
+++ b/crates/saltpitch-core/src/machine/command_channel.rs
@@ -1,22 +1,18 @@
-//! Direct calls with commands to one agent: one at a time, at a limited rate.
+//! Messages with commands to one agent: direct calls, one at a time and at a limited rate, and the fencing token that
+//! they carry.
 
 use crate::time::Micros;
 
-/// A call that carried a start and got no answer. The agent may execute it at any later time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct UnacknowledgedStart {
-    /// The fencing token of the call. An agent that has seen a higher token ignores the call.
-    pub fencing_token: u64,
-    /// When the call ended.
-    pub since: Micros,
-}
-
-/// The state of the direct calls to one agent.
+/// The state of the messages with commands to one agent.
 #[derive(Debug, Default)]
 pub struct CommandChannel {
     in_flight: bool,
     next_call_at: Micros,
-    unacknowledged_start: Option<UnacknowledgedStart>,
+    /// The highest fencing token that was sent to the agent or that it has shown.
+    fencing_token: u64,
+    /// The fencing token of the last call that carried a start and got no answer. The agent may execute it at any
+    /// later time, unless it has seen a higher token.
+    unacknowledged_start: Option<u64>,
 }
 
 impl CommandChannel {
@@ -35,9 +31,10 @@
         !self.in_flight && now >= self.next_call_at
     }
 
-    /// Returns the last call with a start that the agent may still execute.
-    pub fn unacknowledged_start(&self) -> Option<UnacknowledgedStart> {
-        self.unacknowledged_start
+    /// Returns the highest fencing token that was sent to the agent or that it has shown. It ignores messages with a
+    /// lower one.
+    pub fn fencing_token(&self) -> u64 {
+        self.fencing_token
     }
 
     /// Returns whether the agent may still execute a start of an earlier call.
@@ -61,18 +58,21 @@
         self.next_call_at = now.plus(backoff);
     }
 
-    /// Records that a call with a start got no answer.
-    pub fn start_unacknowledged(&mut self, fencing_token: u64, now: Micros) {
-        self.unacknowledged_start = Some(UnacknowledgedStart {
-            fencing_token,
-            since: now,
-        });
+    /// Records that a call with a start and this fencing token got no answer.
+    pub fn start_unacknowledged(&mut self, fencing_token: u64) {
+        self.unacknowledged_start = Some(fencing_token);
+    }
+
+    /// Records that a message with this fencing token is sent.
+    pub fn token_sent(&mut self, fencing_token: u64) {
+        self.fencing_token = self.fencing_token.max(fencing_token);
     }
 
     /// Records a fencing token that the agent showed. The agent ignores calls with a lower token.
     pub fn token_observed(&mut self, fencing_token: u64) {
+        self.fencing_token = self.fencing_token.max(fencing_token);
         self.unacknowledged_start
-            .take_if(|start| fencing_token > start.fencing_token);
+            .take_if(|start| fencing_token > *start);
     }
 
     /// Records that the agent began a new epoch. It ignores calls for earlier epochs.
--- a/crates/saltpitch-core/src/machine/mod.rs
+++ b/crates/saltpitch-core/src/machine/mod.rs
@@ -25,7 +25,7 @@
 
 pub use agent_state::AgentState;
 pub use allocation_set::AllocationSet;
-pub use command_channel::{CommandChannel, UnacknowledgedStart};
+pub use command_channel::CommandChannel;
 pub use connectivity::Connectivity;
 pub use cordon::Cordon;
 pub use image_cache::{ImageChanges, LocalImages};
--- a/crates/saltpitch-core/src/machine/status.rs
+++ b/crates/saltpitch-core/src/machine/status.rs
@@ -9,8 +9,8 @@
 pub struct StatusContext {
     /// Whether the status came in a heartbeat and not in an answer to a direct call.
     pub is_heartbeat: bool,
-    /// The first term, and so the first fencing token, of the present leadership.
-    pub first_term: u64,
+    /// The lowest fencing token of the present leadership.
+    pub first_token: u64,
     /// The duration of an agent's lease.
     pub lease: Micros,
     /// How long an agent's last message counts as recent.
@@ -51,7 +51,7 @@
         }
         self.connectivity.status_received(now);
         let token = status.fencing_token;
-        changes.fenced = self.agent.token_observed(token, context.first_term, now);
+        changes.fenced = self.agent.token_observed(token, context.first_token, now);
         self.commands.token_observed(token);
         changes.removed_images = self.epoch_observed(status, context);
         self.agent.status_received(status);
--- a/crates/saltpitch-core/src/records/stored.rs
+++ b/crates/saltpitch-core/src/records/stored.rs
@@ -12,11 +12,11 @@
 use crate::job::{JobSpec, JobState};
 use crate::time::Micros;
 
-/// The term. Its number is the leader's fencing token, and its revision is a precondition of every write by the
-/// leader.
+/// The term. Its number is the highest of its fencing tokens ([`crate::leadership::TokenRange`]), and its revision is a
+/// precondition of every write by the leader.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct TermRecord {
-    /// The fencing token of the present leader; it is never lowered.
+    /// The highest fencing token of the present leader; it is never lowered.
     pub term: u64,
     /// The name of the controller that started this term.
     pub node: String,
--- a/crates/saltpitch-core/src/scheduler/agent_reconciliation.rs
+++ b/crates/saltpitch-core/src/scheduler/agent_reconciliation.rs
@@ -5,8 +5,8 @@
 
 use std::sync::Arc;
 
-use super::Scheduler;
-use crate::agent::{Command, Heartbeat};
+use super::{AgentCommands, Scheduler};
+use crate::agent::Heartbeat;
 use crate::machine::{AnswerEvidence, Machine, StatusChanges, StatusContext};
 use crate::time::Micros;
 
@@ -35,7 +35,8 @@
 }
 
 impl Scheduler {
-    /// Processes an agent's heartbeat. Returns the commands to answer with, or why the heartbeat is rejected.
+    /// Processes an agent's heartbeat. Returns the commands and the token to answer with, or why the heartbeat is
+    /// rejected.
     ///
     /// `is_returned` says whether the machine is on record as returned.
     pub fn heartbeat_received(
@@ -43,7 +44,7 @@
         heartbeat: Heartbeat,
         is_returned: bool,
         now: Micros,
-    ) -> Result<Vec<Command>, HeartbeatRejection> {
+    ) -> Result<AgentCommands, HeartbeatRejection> {
         if is_returned || self.inventory.was_returned(&heartbeat.machine) {
             return Err(HeartbeatRejection::MachineReturned);
         }
@@ -68,8 +69,16 @@
         self.apply_status(&name, heartbeat, true, now);
         self.record_answer(&name, agent_epoch, evidence, now)?;
         let commands = self.commands_for(&name, Some(evidence.sequence));
+        let fencing_token = self.message_token(&name, &commands);
+        if let Some(machine) = self.inventory.get_mut(&name) {
+            let inbound = &mut machine.connectivity.inbound_partition;
+            inbound.answer_sent(fencing_token, evidence);
+        }
         self.dispatch.heartbeat_answered(&name);
-        Ok(commands)
+        Ok(AgentCommands {
+            fencing_token,
+            commands,
+        })
     }
 
     /// Records that a heartbeat whose status was applied is now answered.
@@ -91,7 +100,6 @@
         }
         let inbound = &mut machine.connectivity.inbound_partition;
         inbound.heartbeat_received(evidence, heartbeat_freshness, now);
-        inbound.answer_sent(self.leader_term.term(), evidence);
         machine.agent.heartbeat_answered(evidence.sequence);
         self.inventory.update(name);
         Ok(())
@@ -173,7 +181,7 @@
     ) {
         let context = StatusContext {
             is_heartbeat,
-            first_term: self.leader_term.first_term(),
+            first_token: self.leader_term.first_token(),
             lease: self.config.agent_lease,
             heartbeat_freshness: self.heartbeat_freshness(),
             now,
--- a/crates/saltpitch-core/src/scheduler/command_retries.rs
+++ b/crates/saltpitch-core/src/scheduler/command_retries.rs
@@ -1,16 +1,12 @@
-//! Retries of commands that have shown no effect. Starts that stay unacknowledged are invalidated by raising
-//! the term.
+//! Retries of commands that have shown no effect.
 
 use std::sync::Arc;
 
 use super::job_table::JobTable;
-use super::{Effect, ObservedState, Scheduler, SchedulerConfig};
+use super::{ObservedState, Scheduler, SchedulerConfig};
 use crate::machine::Machine;
 use crate::time::Micros;
 
-/// How long a start may stay unacknowledged before it is invalidated by raising the term.
-const ACKNOWLEDGEMENT_TIMEOUT: Micros = Micros::from_secs(6);
-
 /// The results of a check of the machines whose commands have shown no effect yet.
 #[derive(Default)]
 struct RetryFindings {
@@ -18,13 +14,10 @@
     settled: Vec<Arc<str>>,
     /// Machines to which commands must be sent again.
     retried: Vec<Arc<str>>,
-    /// Whether the term must be raised. An agent that has seen the new term ignores earlier starts.
-    needs_higher_term: bool,
 }
 
 impl Scheduler {
-    /// Repeats commands that show no effect, and raises the term to invalidate starts that stay
-    /// unacknowledged.
+    /// Repeats commands that show no effect.
     pub(super) fn retry_unacknowledged(&mut self, now: Micros) {
         let findings = self.check_awaited_effects(now);
         for name in &findings.settled {
@@ -33,9 +26,6 @@
         for name in &findings.retried {
             self.dispatch.request(name);
         }
-        if findings.needs_higher_term && self.leader_term.begin_raise() {
-            self.effects.push(Effect::RaiseTerm);
-        }
     }
 
     /// Checks the machines whose stops and starts have not all shown an effect.
@@ -48,7 +38,6 @@
                 findings.settled.push(name.clone());
                 continue;
             };
-            findings.needs_higher_term |= needs_higher_term(machine, self.leader_term.term(), now);
             let awaits_effect = has_awaited_tasks(machine, &mut self.job_table, &self.config, now)
                 || machine.commands.has_unacknowledged_start();
             if !awaits_effect {
@@ -61,21 +50,6 @@
     }
 }
 
-/// Returns whether a start has been unacknowledged for so long that the term is raised to invalidate it.
-///
-/// A start that was sent before the term was last raised is no reason to raise it again: the agent ignores it
-/// once it has seen the new term.
-fn needs_higher_term(machine: &Machine, term: u64, now: Micros) -> bool {
-    let Some(start) = machine.commands.unacknowledged_start() else {
-        return false;
-    };
-    machine.is_up()
-        && !machine.connectivity.is_unresponsive()
-        && !machine.connectivity.inbound_partition.is_suspected()
-        && now.since(start.since) > ACKNOWLEDGEMENT_TIMEOUT
-        && start.fencing_token >= term
-}
-
 /// Returns whether stops or starts on this machine have yet to show an effect. Takes away the grace of tasks
 /// that have exceeded it, so that they are stopped at once.
 fn has_awaited_tasks(
--- a/crates/saltpitch-core/src/scheduler/commands.rs
+++ b/crates/saltpitch-core/src/scheduler/commands.rs
@@ -34,6 +34,15 @@
     Unknown,
 }
 
+/// Commands for an agent, and the fencing token of the message that carries them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AgentCommands {
+    /// The fencing token.
+    pub fencing_token: u64,
+    /// The commands, in the order of their execution.
+    pub commands: Vec<Command>,
+}
+
 /// A direct call with commands whose outcome is not yet known.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SentCommands {
@@ -110,10 +119,12 @@
             return Vec::new();
         }
         // No attempt is forgotten while a start may still reach the agent, by a direct call or in an answer
-        // that it has not processed yet: the start of a forgotten attempt would run it again.
+        // that it has not processed yet: the start of a forgotten attempt would run it again. The unused token of
+        // the message invalidates late copies of the calls that have ended.
         let start_may_arrive = machine.commands.has_unacknowledged_start()
             || (machine.commands.is_in_flight() && is_answer)
             || machine.agent.may_receive_start();
+        let may_forget = !start_may_arrive && self.leader_term.has_unused_token();
         let commands = machine.allocations.unowned().iter().filter_map(|status| {
             let (job, task, attempt) = (status.job.as_str().into(), status.task, status.attempt);
             if !matches!(status.state, TaskState::Exited { .. }) {
@@ -124,12 +135,49 @@
                     grace: Micros::ZERO,
                 });
             }
-            let may_forget = !start_may_arrive && self.is_outcome_recorded(status);
-            may_forget.then_some(Command::Forget { job, task, attempt })
+            let is_due = is_answer || self.awaits_start(machine, status);
+            let forgets = may_forget && is_due && self.is_outcome_recorded(status);
+            forgets.then_some(Command::Forget { job, task, attempt })
         });
         commands.take(MAX_COMMANDS).collect()
     }
 
+    /// Returns whether another attempt of the task is to be started on the machine. The agent may refuse the start
+    /// while it lists this one.
+    fn awaits_start(&self, machine: &Machine, status: &TaskStatus) -> bool {
+        let Some(number) = self.job_table.number_of(&status.job) else {
+            return false;
+        };
+        let job = self.job_table.get(number);
+        let allocation = job.and_then(|job| job.allocation(status.task));
+        machine.allocations.contains(number, status.task)
+            && allocation.is_some_and(|allocation| allocation.committed)
+    }
+
+    /// Returns the fencing token of a message with these commands, and records that it is sent.
+    ///
+    /// An agent that forgets an attempt would run it again if it received a copy of a call that started it. The
+    /// message therefore carries a token above those of all calls so far, which the agent refuses from then on. In
+    /// the same way a start whose call got no answer is invalidated, unless a newer call is in flight.
+    pub(super) fn message_token(&mut self, name: &Arc<str>, commands: &[Command]) -> u64 {
+        let first_token = self.leader_term.first_token();
+        let Some(machine) = self.inventory.get_mut(name) else {
+            return first_token;
+        };
+        let channel = &mut machine.commands;
+        let is_forget = |command: &Command| matches!(command, Command::Forget { .. });
+        let invalidates_calls = commands.iter().any(is_forget)
+            || (channel.has_unacknowledged_start() && !channel.is_in_flight());
+        let unused_token = if invalidates_calls {
+            self.leader_term.take_token()
+        } else {
+            None
+        };
+        let token = unused_token.unwrap_or(channel.fencing_token().max(first_token));
+        channel.token_sent(token);
+        token
+    }
+
     /// Returns whether the records no longer depend on this exited attempt, so that the agent may forget it.
     fn is_outcome_recorded(&self, status: &TaskStatus) -> bool {
         let Some(number) = self.job_table.number_of(&status.job) else {
@@ -172,12 +220,13 @@
         if !machine.is_up() || machine.addr.is_empty() {
             return;
         }
-        let term = self.leader_term.term();
-        let has_seen_term = machine.agent.has_seen_token(term);
+        let is_fenced = machine.agent.has_seen_token(self.leader_term.first_token());
+        let has_unacknowledged_start = machine.commands.has_unacknowledged_start();
         let commands = self.commands_for(name, None);
-        if commands.is_empty() && has_seen_term {
+        if commands.is_empty() && is_fenced && !has_unacknowledged_start {
             return;
         }
+        let fencing_token = self.message_token(name, &commands);
         let Some(machine) = self.inventory.get_mut(name) else {
             return;
         };
@@ -187,7 +236,7 @@
             machine: name.clone(),
             addr: machine.addr.clone(),
             agent_epoch: machine.agent.epoch(),
-            fencing_token: term,
+            fencing_token,
             commands,
         });
     }
@@ -218,8 +267,7 @@
             CommandOutcome::Unknown => {
                 machine.commands.back_off(UNKNOWN_BACKOFF, now);
                 if sent.has_start && machine.agent.epoch() == sent.agent_epoch {
-                    let fencing_token = sent.fencing_token;
-                    machine.commands.start_unacknowledged(fencing_token, now);
+                    machine.commands.start_unacknowledged(sent.fencing_token);
                     self.dispatch.await_effect(name);
                 }
                 self.dispatch.request(name);
--- a/crates/saltpitch-core/src/scheduler/interface.rs
+++ b/crates/saltpitch-core/src/scheduler/interface.rs
@@ -123,7 +123,7 @@
         addr: String,
         /// The epoch of the agent for which the commands are meant.
         agent_epoch: u64,
-        /// The fencing token of the leader.
+        /// The fencing token of the call.
         fencing_token: u64,
         /// The commands, in the order of their execution.
         commands: Vec<Command>,
--- a/crates/saltpitch-core/src/scheduler/mod.rs
+++ b/crates/saltpitch-core/src/scheduler/mod.rs
@@ -68,7 +68,7 @@
 pub use agent_reconciliation::HeartbeatRejection;
 pub use autoscaler::ScaleOutOutcome;
 pub use cloud_listing::ListedMachine;
-pub use commands::{CommandOutcome, SentCommands};
+pub use commands::{AgentCommands, CommandOutcome, SentCommands};
 pub use delegation::DelegationCandidate;
 pub use interface::{
     Effect, Objective, ObjectiveTarget, Precondition, SchedulerConfig, Transaction, Write,
@@ -122,7 +122,7 @@
 }
 
 impl Scheduler {
-    /// Returns this leader's term, which is the fencing token of every command.
+    /// Returns this leader's term, whose number is the highest of its fencing tokens.
     pub fn term(&self) -> u64 {
         self.leader_term.term()
     }
@@ -148,21 +148,14 @@
         self.placement_pass.request();
     }
 
+    /// Returns the lowest fencing token of the term in which this leader was elected.
+    pub fn first_token(&self) -> u64 {
+        self.leader_term.first_token()
+    }
+
     /// Takes over a term that this leader has raised without a change of leader.
     pub fn term_raised(&mut self, term: u64, revision: u64) {
-        if !self.leader_term.raise_completed(term, revision) {
-            return;
-        }
-        // Only agents with unacknowledged starts get the new term by a direct call. All others receive it
-        // with the answers to their heartbeats.
-        let uncertain = self.dispatch.awaiting_effect().filter(|name| {
-            let machine = self.inventory.get(name);
-            machine.is_some_and(|machine| machine.commands.has_unacknowledged_start())
-        });
-        let uncertain: Vec<Arc<str>> = uncertain.cloned().collect();
-        for name in &uncertain {
-            self.dispatch.request(name);
-        }
+        self.leader_term.raise_completed(term, revision);
     }
 
     /// Handles the failure of the transaction that raises the term.
@@ -222,6 +215,9 @@
     }
 
     fn tick(&mut self, now: Micros) {
+        if self.leader_term.begin_raise() {
+            self.effects.push(Effect::RaiseTerm);
+        }
         self.run_health_checks(now);
         self.retry_deferred(now);
         if now >= self.next_plan {
--- a/crates/saltpitch-core/tests/controller.rs
+++ b/crates/saltpitch-core/tests/controller.rs
@@ -10,10 +10,12 @@
 use saltpitch_core::controller::{
     Candidacy, Controller, ControllerConfig, LossReason, Notice, PeerIdentity, StoreHealth,
 };
-use saltpitch_core::leadership::answer_bound;
+use saltpitch_core::leadership::{answer_bound, TOKENS_PER_TERM};
 use saltpitch_core::messages::{PeerStatus, PROTOCOL_VERSION};
 use saltpitch_core::records::{JobRead, RecordChange, DEFAULT_MAX_ENDED_JOBS, TERM_KEY};
 
+/// The number of the first term on record.
+const FIRST_TERM: u64 = TOKENS_PER_TERM;
 /// The time at which each test begins.
 const START: Micros = Micros::from_secs(100);
 /// The state service has been unreachable since [`START`].
@@ -100,7 +102,7 @@
 fn status_of_peer() -> PeerStatus {
     PeerStatus {
         node: "n1".to_owned(),
-        term: 1,
+        term: FIRST_TERM,
         term_owner: "n0".to_owned(),
         term_incarnation: 1,
         is_leader: false,
@@ -249,8 +251,9 @@
 #[test]
 fn a_newer_term_ends_the_leadership_with_a_notice() {
     let mut controller = leader();
+    // A version that uses one fencing token for each term takes the next number.
     let newer = PeerStatus {
-        term: 2,
+        term: FIRST_TERM + 1,
         term_owner: "n1".to_owned(),
         ..status_of_peer()
     };
@@ -259,7 +262,7 @@
     assert!(!controller.may_answer(START));
     assert!(controller.scheduler_in_epoch(epoch).is_none());
     let lost = Notice::LeadershipLost {
-        term: 1,
+        term: FIRST_TERM,
         reason: LossReason::NewerTerm,
     };
     assert_eq!(controller.take_notices(), [lost]);
--- a/crates/saltpitch-core/tests/harness/mod.rs
+++ b/crates/saltpitch-core/tests/harness/mod.rs
@@ -6,12 +6,13 @@
 
 pub mod site;
 
-pub use std::collections::BTreeSet;
+pub use std::collections::{BTreeMap, BTreeSet};
 pub use std::sync::Arc;
 
 pub use saltpitch_core::agent::{Command, ExitCause, Heartbeat, TaskState, TaskStatus};
 pub use saltpitch_core::catalog::{Catalog, MachineType, Resources};
 pub use saltpitch_core::job::{JobKind, JobSpec, JobState, Priority};
+pub use saltpitch_core::leadership::TOKENS_PER_TERM;
 pub use saltpitch_core::policy::Policy;
 pub use saltpitch_core::quota::TeamLimits;
 pub use saltpitch_core::records::{
@@ -20,12 +21,16 @@
     TermRecord, TERM_KEY,
 };
 pub use saltpitch_core::scheduler::{
-    CommandOutcome, Effect, Objective, ObjectiveTarget, ScaleOutOutcome, Scheduler,
-    SchedulerConfig, SentCommands, Transaction, TransactionOutcome, Write,
+    AgentCommands, CommandOutcome, Effect, HeartbeatRejection, Objective, ObjectiveTarget,
+    ScaleOutOutcome, Scheduler, SchedulerConfig, SentCommands, Transaction, TransactionOutcome,
+    Write,
 };
 pub use saltpitch_core::Micros;
 pub use serde_json::value::{to_raw_value, RawValue};
 
+/// The lowest fencing token of the leader's term, [`TOKENS_PER_TERM`].
+pub const FIRST_TOKEN: u64 = 1;
+
 pub fn secs(s: u64) -> Micros {
     Micros::from_secs(s)
 }
@@ -144,6 +149,12 @@
     pub revision: u64,
     /// The direct calls that the scheduler requested, with the machine of each.
     pub commands: Vec<(Arc<str>, Vec<Command>)>,
+    /// The fencing token of each of these calls.
+    pub call_tokens: Vec<u64>,
+    /// The fencing token of the last answer to each machine, which its next heartbeat shows.
+    pub seen_tokens: BTreeMap<String, u64>,
+    /// How every direct call ends; it is not sent unless a test sets something else.
+    pub call_outcome: CommandOutcome,
     /// The machines that the scheduler returned to the cloud.
     pub returned_machines: BTreeSet<String>,
     /// The number of keys written by the scheduler's transactions.
@@ -197,7 +208,7 @@
     ) -> SchedulerHarness {
         let mut records = RecordCache::default();
         let term = TermRecord {
-            term: 5,
+            term: TOKENS_PER_TERM,
             node: "n0".to_owned(),
             incarnation: 1,
             earlier_leaders_fenced_at: Micros::ZERO,
@@ -220,6 +231,9 @@
             now,
             revision: 10,
             commands: Vec::new(),
+            call_tokens: Vec::new(),
+            seen_tokens: BTreeMap::new(),
+            call_outcome: CommandOutcome::NotSent,
             returned_machines: BTreeSet::new(),
             write_count: 0,
             segment_write_count: 0,
@@ -305,7 +319,8 @@
                         let sent =
                             SentCommands::new(machine, agent_epoch, fencing_token, &commands);
                         self.commands.push((name, commands));
-                        let outcome = CommandOutcome::NotSent;
+                        self.call_tokens.push(fencing_token);
+                        let outcome = self.call_outcome.clone();
                         self.scheduler.command_ended(&sent, outcome, self.now);
                     }
                     Effect::ScaleOut {
@@ -342,9 +357,24 @@
         sequence: u64,
         tasks: &[TaskStatus],
     ) -> Vec<Command> {
-        self.scheduler
-            .heartbeat_received(heartbeat(machine, zone, sequence, tasks), false, self.now)
+        self.send_heartbeat(heartbeat(machine, zone, sequence, tasks))
             .expect("the heartbeat is answered")
+            .commands
+    }
+
+    /// Delivers a heartbeat of an agent that has received the last answer, and returns the answer.
+    pub fn send_heartbeat(
+        &mut self,
+        mut heartbeat: Heartbeat,
+    ) -> Result<AgentCommands, HeartbeatRejection> {
+        let seen_token = self.seen_tokens.entry(heartbeat.machine.clone());
+        let seen_token = seen_token.or_insert(FIRST_TOKEN);
+        heartbeat.fencing_token = *seen_token;
+        let answer = self
+            .scheduler
+            .heartbeat_received(heartbeat, false, self.now)?;
+        *seen_token = answer.fencing_token;
+        Ok(answer)
     }
 }
 
@@ -358,7 +388,7 @@
         spot: false,
         agent_epoch: 1,
         sequence,
-        fencing_token: 5,
+        fencing_token: FIRST_TOKEN,
         spot_notice: None,
         tasks: tasks.to_vec(),
     }
--- a/crates/saltpitch-core/tests/harness/site.rs
+++ b/crates/saltpitch-core/tests/harness/site.rs
@@ -119,14 +119,10 @@
             ..heartbeat(name, &zone, self.sequence, &statuses)
         };
         // The leader does not answer a machine that was returned.
-        let Ok(commands) =
-            self.harness
-                .scheduler
-                .heartbeat_received(heartbeat, false, self.harness.now)
-        else {
+        let Ok(answer) = self.harness.send_heartbeat(heartbeat) else {
             return;
         };
-        for command in commands {
+        for command in answer.commands {
             self.execute(name, command);
         }
     }
--- a/crates/saltpitch-core/tests/large_site.rs
+++ b/crates/saltpitch-core/tests/large_site.rs
@@ -86,15 +86,10 @@
         let tasks: Vec<TaskStatus> = self.running[machine as usize].iter().cloned().collect();
         let name = format!("vm-{machine:05}");
         let heartbeat = heartbeat(&name, zone_of(machine), self.sequence, &tasks);
-        let now = self.harness.now;
-        let Ok(commands) = self
-            .harness
-            .scheduler
-            .heartbeat_received(heartbeat, false, now)
-        else {
+        let Ok(answer) = self.harness.send_heartbeat(heartbeat) else {
             return;
         };
-        for command in commands {
+        for command in answer.commands {
             if let Command::Start { job, task, attempt } = command {
                 self.running[machine as usize] = Some(TaskStatus {
                     job: job.to_string(),
--- a/crates/saltpitch-core/tests/limits.rs
+++ b/crates/saltpitch-core/tests/limits.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use harness::secs;
+use harness::{secs, FIRST_TOKEN, TOKENS_PER_TERM};
 use saltpitch_core::agent::Heartbeat;
 use saltpitch_core::catalog::{Catalog, Resources};
 use saltpitch_core::job::{JobKind, JobSpec, JobState, Priority};
@@ -100,7 +100,7 @@
 
     fn with_config(config: SchedulerConfig, stored: &[(String, String)]) -> LimitedStoreHarness {
         let term = TermRecord {
-            term: 5,
+            term: TOKENS_PER_TERM,
             node: "n0".to_owned(),
             incarnation: 1,
             earlier_leaders_fenced_at: Micros::ZERO,
@@ -225,7 +225,7 @@
                 spot: false,
                 agent_epoch: 1,
                 sequence,
-                fencing_token: 5,
+                fencing_token: FIRST_TOKEN,
                 spot_notice: None,
                 tasks: Vec::new(),
             };
--- a/crates/saltpitch-core/tests/machine.rs
+++ b/crates/saltpitch-core/tests/machine.rs
@@ -40,11 +40,11 @@
     }
 }
 
-/// Returns the context of a heartbeat that arrives at second `now`, in a leadership whose first term is 5.
+/// Returns the context of a heartbeat that arrives at second `now`, in a leadership whose lowest token is 5.
 fn context(now: u64) -> StatusContext {
     StatusContext {
         is_heartbeat: true,
-        first_term: 5,
+        first_token: 5,
         lease: secs(14),
         heartbeat_freshness: HEARTBEAT_FRESHNESS,
         now: secs(now),
@@ -146,7 +146,7 @@
     commands.back_off(secs(1), secs(11));
     assert!(!commands.is_ready(secs(11)));
     assert!(commands.is_ready(secs(12)));
-    commands.start_unacknowledged(5, secs(11));
+    commands.start_unacknowledged(5);
     commands.token_observed(5);
     assert!(
         commands.has_unacknowledged_start(),
@@ -154,7 +154,7 @@
     );
     commands.token_observed(6);
     assert!(!commands.has_unacknowledged_start());
-    commands.start_unacknowledged(6, secs(13));
+    commands.start_unacknowledged(6);
     commands.epoch_started();
     assert!(!commands.has_unacknowledged_start());
 }
--- a/crates/saltpitch-core/tests/scheduler.rs
+++ b/crates/saltpitch-core/tests/scheduler.rs
@@ -466,10 +466,10 @@
                 if agent_epoch == 1 { &running } else { &[] },
             )
         };
-        let commands = harness
+        let answer = harness
             .scheduler
             .heartbeat_received(status, false, harness.now);
-        later_starts += commands.map_or(0, |commands| start_count(&commands));
+        later_starts += answer.map_or(0, |answer| start_count(&answer.commands));
     }
     assert!(
         harness.returned_machines.contains("vm-1"),
--- a/crates/saltpitch-testkit/src/invariants.rs
+++ b/crates/saltpitch-testkit/src/invariants.rs
@@ -45,7 +45,12 @@
             check_task(simulation, &mut running, agent, id, agent_task)?;
         }
     }
-    for violation in [&simulation.early_start, &simulation.late_start] {
+    let starts = [
+        &simulation.early_start,
+        &simulation.late_start,
+        &simulation.repeated_start,
+    ];
+    for violation in starts {
         violation.clone().map_or(Ok(()), Err)?;
     }
     check_quotas(simulation, &running)?;
--- a/crates/saltpitch-testkit/src/invariants/violation.rs
+++ b/crates/saltpitch-testkit/src/invariants/violation.rs
@@ -19,6 +19,8 @@
     PlacementConstraint,
     /// No task of a cancelled job runs later than the cancellation timeout.
     RunsAfterCancellation,
+    /// An agent does not start an attempt again that it was told to forget.
+    StartAfterForget,
     /// A task starts after all jobs that its job depends on are done.
     StartBeforeDependencies,
     /// No team uses more than its limit.
@@ -57,6 +59,7 @@
             Invariant::UnknownJob => "invented",
             Invariant::PlacementConstraint => "wrong_place",
             Invariant::RunsAfterCancellation => "ran_cancelled",
+            Invariant::StartAfterForget => "started_again",
             Invariant::StartBeforeDependencies => "too_early",
             Invariant::QuotaExceeded => "quota",
             Invariant::DependentNotCancelled => "orphaned",
--- a/crates/saltpitch-testkit/src/lib.rs
+++ b/crates/saltpitch-testkit/src/lib.rs
@@ -40,6 +40,12 @@
 //! must draw no random number while it is switched off, so that the histories of existing seeds stay as they
 //! are; histories with [`Faults::all`] change, and so do their fingerprints.
 //!
+//! # Late copies
+//!
+//! In every history the network also delivers some requests that were carried out once more: direct commands,
+//! transactions, requests to the cloud and heartbeats between controllers, milliseconds to minutes later. They are no
+//! field of [`Faults`], since no part may rely on their absence. [`Simulation::late_copies`] counts them.
+//!
 //! # Adding an invariant
 //!
 //! Add a variant to [`Invariant`](invariants::Invariant) and a check to `invariants.rs`, or to `cells/history.rs` if
@@ -62,4 +68,4 @@
 pub mod store;
 pub mod trace;
 
-pub use simulation::{Faults, Simulation};
+pub use simulation::{CopyCounts, Faults, Simulation};
--- a/crates/saltpitch-testkit/src/nodes.rs
+++ b/crates/saltpitch-testkit/src/nodes.rs
@@ -11,7 +11,7 @@
 use saltpitch_core::messages::PeerStatus;
 use saltpitch_core::records::{job_key, node_key, JobRead, JobRecord, RecordCache, RecordChange};
 use saltpitch_core::scheduler::{
-    Effect, Precondition, Scheduler, SchedulerConfig, TransactionOutcome,
+    AgentCommands, Effect, Precondition, Scheduler, SchedulerConfig, TransactionOutcome,
 };
 use saltpitch_core::Micros;
 use serde_json::value::RawValue;
@@ -218,9 +218,11 @@
         let Some(leader) = self.scheduler_in(epoch, now) else {
             return no_leader;
         };
-        let fencing_token = leader.term();
         match leader.heartbeat_received(heartbeat, returned, now) {
-            Ok(commands) => HeartbeatAnswer::Commands {
+            Ok(AgentCommands {
+                fencing_token,
+                commands,
+            }) => HeartbeatAnswer::Commands {
                 fencing_token,
                 commands,
             },
--- a/crates/saltpitch-testkit/src/simulation/cloud.rs
+++ b/crates/saltpitch-testkit/src/simulation/cloud.rs
@@ -1,12 +1,13 @@
 //! The cloud: scale-out requests and its list of machines.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use saltpitch_core::scheduler::{ListedMachine, ScaleOutOutcome};
 use saltpitch_core::Micros;
 
 use super::Simulation;
-use crate::agents::Agent;
+use crate::agents::{Agent, AgentTask};
 
 /// The provisioning time of a machine that never boots: longer than any history.
 const NEVER_PROVISIONED: Micros = Micros::from_secs(1_000_000);
@@ -51,6 +52,20 @@
         ScaleOutOutcome::Machines(names)
     }
 
+    /// Takes machines back. Counts those that were up and running tasks.
+    pub(super) fn scale_in(&mut self, names: &[Arc<str>]) {
+        let now = self.now;
+        for name in names {
+            let Some(agent) = self.agents.get_mut(&**name) else {
+                continue;
+            };
+            let is_busy = agent.tasks.values().any(AgentTask::counts_as_running);
+            let is_returned_busy = !agent.is_gone && agent.is_up(now) && is_busy;
+            self.busy_machines_returned += u64::from(is_returned_busy);
+            agent.is_gone = true;
+        }
+    }
+
     /// Provisions one machine and returns its name. With machine faults some machines boot late or never,
     /// and some run tasks slowly.
     fn provision_machine(&mut self, request: &ScaleOutRequest) -> String {
--- a/crates/saltpitch-testkit/src/simulation/controllers.rs
+++ b/crates/saltpitch-testkit/src/simulation/controllers.rs
@@ -5,7 +5,7 @@
 use saltpitch_core::leadership::{ElectionAttempt, LEADERSHIP_LEASE};
 use saltpitch_core::messages::PeerStatus;
 use saltpitch_core::records::LEADER_KEY;
-use saltpitch_core::scheduler::{Scheduler, SchedulerConfig, Transaction, TransactionOutcome};
+use saltpitch_core::scheduler::{Scheduler, SchedulerConfig, TransactionOutcome};
 use saltpitch_core::Micros;
 
 use super::{Simulation, TICK};
@@ -157,11 +157,7 @@
         self.schedule_after(Micros::from_millis(delay), move |simulation| {
             // A transaction in flight is applied even if the process has crashed since.
             let attached = Some((store_lease, LEADER_KEY));
-            let outcome = simulation.store.txn(
-                &campaign.transaction.preconditions,
-                &campaign.transaction.writes,
-                attached,
-            );
+            let outcome = simulation.apply_transaction(&campaign.transaction, attached);
             let outcome = if lost {
                 TransactionOutcome::Unknown
             } else {
@@ -278,6 +274,7 @@
                 simulation.heartbeat_arrives(exchange, peer_heartbeat)
             });
         }
+        self.copy_peer_heartbeat(exchange.to, &peer_heartbeat);
         let answer = self.nodes[exchange.to].peer_heartbeat_received(peer_heartbeat, now);
         self.trace.heartbeat_answer(&answer, now);
         if now.since(exchange.sent_at) > HEARTBEAT_TIMEOUT {
@@ -314,17 +311,13 @@
         let Some(resignation) = node.controller.resign(now, now) else {
             return;
         };
-        let Transaction {
-            preconditions,
-            writes,
-        } = &resignation.transaction;
         let written = store_reachable
             && matches!(
-                self.store.txn(preconditions, writes, None),
+                self.apply_transaction(&resignation.transaction, None),
                 TransactionOutcome::Committed(_)
             );
         if !written {
-            node.controller.resignation_failed();
+            self.nodes[node_index].controller.resignation_failed();
         }
     }
 
--- a/crates/saltpitch-testkit/src/simulation/effects.rs
+++ b/crates/saltpitch-testkit/src/simulation/effects.rs
@@ -13,7 +13,7 @@
 
 use super::cloud::ScaleOutRequest;
 use super::{Simulation, UserJob};
-use crate::agents::{Agent, AgentTask};
+use crate::agents::Agent;
 use crate::invariants::{Invariant, InvariantViolation};
 
 /// A controller that has no answer from the store or from an agent within this time treats the outcome
@@ -27,8 +27,8 @@
 const CLOUD_TIMEOUT: Micros = Micros::from_secs(4);
 
 /// Commands sent directly to a machine, not in the answer to a heartbeat.
-struct DirectCommands {
-    machine: Arc<str>,
+pub(super) struct DirectCommands {
+    pub(super) machine: Arc<str>,
     agent_epoch: u64,
     fencing_token: u64,
     commands: Vec<Command>,
@@ -121,8 +121,12 @@
     fn send_scale_out(&mut self, node_index: usize, epoch: u64, request: ScaleOutRequest) {
         let lost = self.faults.lost_answers && self.random_below(8) == 0;
         let delay = self.draw_delay();
+        let request = Arc::new(request);
         self.schedule_after(delay, move |simulation| {
             let outcome = simulation.scale_out(&request);
+            if let ScaleOutOutcome::Machines(_) = outcome {
+                simulation.copy_scale_out(&request);
+            }
             let (outcome, wait) = if lost {
                 (ScaleOutOutcome::Unknown, CLOUD_TIMEOUT)
             } else {
@@ -139,14 +143,8 @@
     fn send_scale_in(&mut self, node_index: usize, epoch: u64, names: Vec<Arc<str>>) {
         let delay = Micros::from_millis(100 + self.random_below(3_000));
         self.schedule_after(delay, move |simulation| {
-            let now = simulation.now;
-            for name in &names {
-                if let Some(agent) = simulation.agents.get_mut(&**name) {
-                    let busy = agent.tasks.values().any(AgentTask::counts_as_running);
-                    simulation.busy_machines_returned += u64::from(agent.is_up(now) && busy);
-                    agent.is_gone = true;
-                }
-            }
+            simulation.scale_in(&names);
+            simulation.copy_scale_in(&names);
             simulation.notify_scheduler(node_index, epoch, move |scheduler, now| {
                 scheduler.scale_in_confirmed(&names, now)
             });
@@ -159,11 +157,7 @@
             return;
         };
         let outcome = if node.can_reach_store(&self.store, self.now) {
-            self.store.txn(
-                &increment.transaction.preconditions,
-                &increment.transaction.writes,
-                None,
-            )
+            self.apply_transaction(&increment.transaction, None)
         } else {
             TransactionOutcome::Unavailable
         };
@@ -205,11 +199,7 @@
         if self.now < partition_ends_at {
             let remaining_partition = partition_ends_at.since(self.now);
             self.schedule_after(remaining_partition, move |simulation| {
-                let Transaction {
-                    preconditions,
-                    writes,
-                } = &transaction;
-                simulation.store.txn(preconditions, writes, None);
+                simulation.apply_transaction(&transaction, None);
             });
             return self.transaction_outcome_unknown(node_index, epoch);
         }
@@ -224,11 +214,7 @@
             self.transaction_outcome_unknown(node_index, epoch);
         }
         self.schedule_after(delivery.applied_after, move |simulation| {
-            let Transaction {
-                preconditions,
-                writes,
-            } = &transaction;
-            let outcome = simulation.store.txn(preconditions, writes, None);
+            let outcome = simulation.apply_transaction(&transaction, None);
             if delivery.answer_lost {
                 return;
             }
@@ -240,6 +226,23 @@
         });
     }
 
+    /// Applies a transaction whose preconditions hold. Late copies of it may follow.
+    pub(super) fn apply_transaction(
+        &mut self,
+        transaction: &Transaction,
+        lease: Option<(u64, &'static str)>,
+    ) -> TransactionOutcome {
+        let Transaction {
+            preconditions,
+            writes,
+        } = transaction;
+        let outcome = self.store.txn(preconditions, writes, lease);
+        if let TransactionOutcome::Committed(_) = outcome {
+            self.copy_transaction(transaction, lease);
+        }
+        outcome
+    }
+
     /// Draws whether a transaction is overtaken by newer ones and whether its answer is lost.
     fn draw_transaction_delivery(&mut self) -> TransactionDelivery {
         let may_be_delayed = self.faults.delayed_writes && self.now < self.faults_end_at;
@@ -316,8 +319,12 @@
                 });
             });
         }
+        let direct = Arc::new(direct);
         self.schedule_after(arrives_after, move |simulation| {
             let outcome = simulation.commands_arrive(&direct);
+            if let Some(CommandOutcome::Executed(_)) = outcome {
+                simulation.copy_commands(&direct);
+            }
             let Some(outcome) = outcome.filter(|_| !unanswered) else {
                 return;
             };
@@ -332,7 +339,7 @@
 
     /// Lets the agent execute direct commands, unless they are for another agent epoch or from an earlier
     /// term.
-    fn commands_arrive(&mut self, direct: &DirectCommands) -> Option<CommandOutcome> {
+    pub(super) fn commands_arrive(&mut self, direct: &DirectCommands) -> Option<CommandOutcome> {
         let now = self.now;
         let machine = &*direct.machine;
         let agent = self.agents.get_mut(machine)?;
@@ -354,8 +361,9 @@
             return;
         }
         for command in commands {
-            if let Command::Start { job, task, .. } = command {
+            if let Command::Start { job, task, attempt } = command {
                 self.check_start(machine, job, *task);
+                self.check_attempt(machine, job, *task, *attempt);
             }
         }
         let now = self.now;
@@ -389,6 +397,16 @@
             self.late_start = Some(violation.of_job(job).on_machine(machine));
         }
     }
+
+    fn check_attempt(&mut self, machine: &str, job: &str, task: u32, attempt: u32) {
+        let key = ((job.to_owned(), task), attempt);
+        let agent = self.agents.get(machine);
+        if agent.is_some_and(|agent| agent.forgotten_attempts.contains(&key)) {
+            let text = format!("{job}/{task} attempt {attempt} was forgotten by {machine}");
+            let violation = InvariantViolation::new(Invariant::StartAfterForget, text);
+            self.repeated_start = Some(violation.of_job(job).on_machine(machine));
+        }
+    }
 }
 
 /// Returns whether all tasks of a job have completed. A job that nobody submitted has no tasks to wait for.
--- a/crates/saltpitch-testkit/src/simulation/mod.rs
+++ b/crates/saltpitch-testkit/src/simulation/mod.rs
@@ -20,11 +20,15 @@
 use crate::store::Store;
 use crate::trace::Trace;
 
+pub use late_copies::CopyCounts;
+use late_copies::LateCopies;
+
 mod agents;
 mod cloud;
 mod controllers;
 mod effects;
 mod fault_injection;
+mod late_copies;
 mod observe;
 mod users;
 
@@ -183,6 +187,8 @@
     pub early_start: Option<InvariantViolation>,
     /// The last start of a task later after its job's cancellation than the cancellation timeout allows.
     pub late_start: Option<InvariantViolation>,
+    /// The last start of an attempt that the agent had been told to forget.
+    pub repeated_start: Option<InvariantViolation>,
     /// Since when controllers, store and network have had no fault.
     pub controllers_healthy_since: Micros,
     /// Since when controllers, store, network and machines have had no fault.
@@ -196,6 +202,8 @@
     pub machine_limit: u32,
     /// How many machines were up and running tasks when the service returned them.
     pub busy_machines_returned: u64,
+    /// How often the agents receive all direct commands that they have executed so far once more, if at all.
+    pub all_calls_repeated_every: Option<Micros>,
     /// The fingerprint of what the controllers did and answered.
     pub trace: Trace,
     config: SchedulerConfig,
@@ -207,6 +215,7 @@
     next_event: u64,
     next_tick: Micros,
     faults_end_at: Micros,
+    late_copies: LateCopies,
 }
 
 /// The time between two ticks of controllers, agents and store.
@@ -301,12 +310,14 @@
             completed_in_other_cell: BTreeSet::new(),
             machine_limit: 3,
             busy_machines_returned: 0,
+            all_calls_repeated_every: None,
             trace: Trace::default(),
             delayed_writes_until: Micros::ZERO,
             slow_links_until: Micros::ZERO,
             next_store_limits: None,
             late_start: None,
             early_start: None,
+            repeated_start: None,
             controllers_healthy_since: Micros::ZERO,
             site_healthy_since: Micros::ZERO,
             resignations: 0,
@@ -318,6 +329,7 @@
             next_event: 0,
             next_tick: Micros::ZERO,
             faults_end_at: faults_end_at.plus(Micros::from_secs(60)),
+            late_copies: LateCopies::new(seed),
         }
     }
 
@@ -400,6 +412,12 @@
             self.agent_tick(&name);
         }
         self.advance_gangs();
+        if let Some(interval) = self.all_calls_repeated_every {
+            if self.now.0 % interval.0 < TICK.0 {
+                let newest_first = (self.now.0 / interval.0).is_multiple_of(2);
+                self.repeat_executed_calls(newest_first);
+            }
+        }
         if self.now.0 % 1_000_000 < TICK.0 {
             self.query_jobs();
             self.note_waiting();
--- a/crates/saltpitch-testkit/src/simulation/users.rs
+++ b/crates/saltpitch-testkit/src/simulation/users.rs
@@ -6,7 +6,7 @@
 use saltpitch_core::catalog::Resources;
 use saltpitch_core::job::{JobKind, JobSpec, JobState, Priority};
 use saltpitch_core::records::{job_key, CancelStep, JobRecord, RecordChange};
-use saltpitch_core::scheduler::{Precondition, TransactionOutcome, Write};
+use saltpitch_core::scheduler::{Precondition, Transaction, TransactionOutcome, Write};
 use saltpitch_core::Micros;
 
 use super::{Simulation, UserJob};
@@ -40,7 +40,7 @@
         let Some(spec) = record.spec.as_deref().cloned() else {
             return false;
         };
-        let known = self.jobs.entry(id.to_owned()).or_insert(UserJob {
+        self.jobs.entry(id.to_owned()).or_insert(UserJob {
             spec: spec.clone(),
             is_delegated: false,
             is_accepted: false,
@@ -57,12 +57,18 @@
             key: key.clone(),
             value: serde_json::to_string(&record).ok(),
         };
-        let outcome = self.store.txn(&[Precondition::new(key, 0)], &[write], None);
+        let transaction = Transaction {
+            preconditions: vec![Precondition::new(key, 0)],
+            writes: vec![write],
+        };
+        let outcome = self.apply_transaction(&transaction, None);
         self.trace.event("submit", self.now).text(id);
         self.trace.outcome(&outcome);
         match outcome {
             TransactionOutcome::Committed(_) | TransactionOutcome::Conflict(_) => {
-                known.is_accepted = true;
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.is_accepted = true;
+                }
                 self.note_cancelled_dependents();
                 true
             }
@@ -112,7 +118,11 @@
         };
         let value = write.value.clone().unwrap_or_default();
         let precondition = Precondition::new(key.clone(), entry.revision);
-        let outcome = self.store.txn(&[precondition], &[write], None);
+        let transaction = Transaction {
+            preconditions: vec![precondition],
+            writes: vec![write],
+        };
+        let outcome = self.apply_transaction(&transaction, None);
         self.trace.event("abort", self.now).text(id);
         self.trace.outcome(&outcome);
         let TransactionOutcome::Committed(revision) = outcome else {
--- a/crates/saltpitch/tests/end_to_end/late_copies.rs
+++ b/crates/saltpitch/tests/end_to_end/late_copies.rs
@@ -68,7 +68,6 @@
 }
 
 #[tokio::test]
-#[ignore = "shows a known fault, see KNOWN-RED.txt"]
 async fn late_copies_of_answered_starts_run_no_task_again_with_the_same_and_with_the_next_leader() {
     let (site, addresses) = site::start(2);
     let api = addresses.api.clone();
