Log each command to an agent with its token, epoch and reason

The records of the incident hold no line of a controller about a start, a stop or a forgotten attempt; only the machines' own records told what had happened. Now the leader's log says for each message with commands, at LOG_LEVEL=info: direct call or answer to a heartbeat, machine, fencing token, agent epoch, the newest status of the agent that was known, and each command with its reason (on record; job cancelled; has to leave; not allocated; exited and for what cause). A call that was refused, not sent or not answered gets an entry too. `leader in term` names the first token and the revision of the records, the summary the revision.

The line `commands to M` at LOG_LEVEL=debug is gone, since it said less. No behaviour changes.

--- a/crates/saltpitch-core/src/machine/agent_state.rs
+++ b/crates/saltpitch-core/src/machine/agent_state.rs
@@ -24,6 +24,11 @@
         self.epoch
     }
 
+    /// Returns the sequence number of the newest status.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
     /// Returns since when the agent is known to ignore every earlier leader, or `None` if it is not.
     pub fn fenced_at(&self) -> Option<Micros> {
         self.fenced_at
--- a/crates/saltpitch-core/src/scheduler/agent_reconciliation.rs
+++ b/crates/saltpitch-core/src/scheduler/agent_reconciliation.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use super::{AgentCommands, Scheduler};
+use super::{AgentCommands, Delivery, Scheduler};
 use crate::agent::Heartbeat;
 use crate::machine::{AnswerEvidence, Machine, StatusChanges, StatusContext};
 use crate::time::Micros;
@@ -70,6 +70,7 @@
         self.record_answer(&name, agent_epoch, evidence, now)?;
         let commands = self.commands_for(&name, Some(evidence.sequence));
         let fencing_token = self.message_token(&name, &commands);
+        self.log_commands(&name, fencing_token, Delivery::HeartbeatAnswer, &commands);
         if let Some(machine) = self.inventory.get_mut(&name) {
             let inbound = &mut machine.connectivity.inbound_partition;
             inbound.answer_sent(fencing_token, evidence);
--- a/crates/saltpitch-core/src/scheduler/commands.rs
+++ b/crates/saltpitch-core/src/scheduler/commands.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use super::{Effect, Job, ObservedState, Scheduler};
+use super::{Delivery, Effect, Job, ObservedState, Scheduler};
 use crate::agent::{Command, Heartbeat, TaskState, TaskStatus};
 use crate::gang::GangState;
 use crate::job::{JobKind, JobState};
@@ -227,6 +227,7 @@
             return;
         }
         let fencing_token = self.message_token(name, &commands);
+        self.log_commands(name, fencing_token, Delivery::DirectCall, &commands);
         let Some(machine) = self.inventory.get_mut(name) else {
             return;
         };
@@ -244,6 +245,7 @@
     /// Processes the outcome of an [`Effect::SendCommands`].
     pub fn command_ended(&mut self, sent: &SentCommands, outcome: CommandOutcome, now: Micros) {
         self.dispatch.command_ended();
+        self.log_outcome(sent, &outcome);
         let name = &sent.machine;
         let heartbeat_freshness = self.heartbeat_freshness();
         let Some(machine) = self.inventory.get_mut(name) else {
--- a/crates/saltpitch-core/src/scheduler/mod.rs
+++ b/crates/saltpitch-core/src/scheduler/mod.rs
@@ -15,6 +15,7 @@
 mod autoscaler;
 mod capacity_planning;
 mod cloud_listing;
+mod command_log;
 mod command_retries;
 mod commands;
 mod consolidation;
@@ -53,6 +54,7 @@
 use crate::time::Micros;
 
 use autoscaler::Autoscaler;
+use command_log::CommandLog;
 use dependency_gate::DependencyGate;
 use dispatch::Dispatch;
 use gang_barrier::GangBarrier;
@@ -68,6 +70,7 @@
 pub use agent_reconciliation::HeartbeatRejection;
 pub use autoscaler::ScaleOutOutcome;
 pub use cloud_listing::ListedMachine;
+pub use command_log::{CallFailure, CommandLogEntry, CommandReason, Delivery, LoggedCommand};
 pub use commands::{AgentCommands, CommandOutcome, SentCommands};
 pub use delegation::DelegationCandidate;
 pub use interface::{
@@ -114,6 +117,7 @@
     persistence: Persistence,
     autoscaler: Autoscaler,
     placement_pass: PlacementPass,
+    command_log: CommandLog,
     next_tick: Micros,
     next_plan: Micros,
     effects: Vec<Effect>,
--- a/crates/saltpitch-core/src/scheduler/recovery.rs
+++ b/crates/saltpitch-core/src/scheduler/recovery.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::autoscaler::Autoscaler;
+use super::command_log::CommandLog;
 use super::dependency_gate::DependencyGate;
 use super::dispatch::Dispatch;
 use super::gang_barrier::GangBarrier;
@@ -48,6 +49,7 @@
             persistence: Persistence::new(records, &config, now),
             autoscaler: Autoscaler::new(&config, now),
             placement_pass: PlacementPass::new(now),
+            command_log: CommandLog::default(),
             next_tick: now,
             next_plan: now,
             effects: Vec::new(),
--- a/crates/saltpitch-core/tests/fencing_tokens.rs
+++ b/crates/saltpitch-core/tests/fencing_tokens.rs
@@ -9,6 +9,7 @@
     TERM_KEY, TOKENS_PER_TERM,
 };
 use saltpitch_core::leadership::{campaign, has_earlier_term, next_term, TokenRange};
+use saltpitch_core::scheduler::{CommandLogEntry, Delivery};
 
 const JOB: &str = "job-1";
 
@@ -116,6 +117,31 @@
     assert!(token > call, "the call with token {call} may still arrive");
 }
 
+#[test]
+fn the_command_log_names_token_delivery_and_reason() {
+    let mut harness = leader_with_started_task();
+    let token = token_of_forget(&mut harness, DONE);
+    let (entries, dropped) = harness.scheduler.take_command_log();
+    assert_eq!(dropped, 0);
+    let lines: Vec<String> = entries.iter().map(CommandLogEntry::to_string).collect();
+    let start = "call to vm-1 token 1 epoch 1 status 1: start job-1/0@1";
+    assert!(lines.iter().any(|line| line == start), "{lines:?}");
+    let forget = format!("token {token} epoch 1 status");
+    let last = lines.last().expect("an entry");
+    assert!(last.starts_with("answer to vm-1 "), "{lines:?}");
+    assert!(last.contains(&forget), "{lines:?}");
+    assert!(
+        last.ends_with("forget job-1/0@1 (exited: Done)"),
+        "{lines:?}"
+    );
+    let is_answer = |entry: &CommandLogEntry| {
+        let delivery = Delivery::HeartbeatAnswer;
+        matches!(entry, CommandLogEntry::Sent { delivery: known, .. } if *known == delivery)
+    };
+    assert!(entries.last().is_some_and(is_answer));
+    assert!(harness.scheduler.take_command_log().0.is_empty());
+}
+
 /// Returns the term that a controller takes when the records show this term.
 fn term_after(recorded: u64) -> u64 {
     let mut records = RecordCache::default();
--- a/crates/saltpitch/src/effects.rs
+++ b/crates/saltpitch/src/effects.rs
@@ -13,6 +13,7 @@
 use saltpitch_core::Micros;
 
 use crate::cloud::ScaleOutRequest;
+use crate::command_log::CommandLogWriter;
 use crate::http::{CallError, Reply};
 use crate::node::Node;
 use crate::wire::agents;
@@ -29,11 +30,18 @@
 /// The maximum number of machine names in one request that returns machines to the cloud.
 const MAX_MACHINES_PER_RETURN: usize = 100;
 
+/// What the scheduler's loop writes to the log.
+#[derive(Default)]
+struct SchedulerLog {
+    last_summary_at: Micros,
+    commands: CommandLogWriter,
+}
+
 /// Polls the scheduler after each event that wakes it and whenever its next poll is due. Never returns.
 pub async fn run_scheduler(node: Arc<Node>) {
-    let mut last_summary_at = Micros::ZERO;
+    let mut log = SchedulerLog::default();
     loop {
-        let wait = poll(&node, &mut last_summary_at);
+        let wait = poll(&node, &mut log);
         let _ = tokio::time::timeout(wait.max(BATCH_DELAY), node.scheduler_wakeup.notified()).await;
         tokio::time::sleep(BATCH_DELAY).await;
     }
@@ -41,35 +49,52 @@
 
 /// Polls the scheduler once and spawns a task for each effect. Returns how long to wait for the next
 /// poll if no event comes first.
-fn poll(node: &Arc<Node>, last_summary_at: &mut Micros) -> Duration {
+fn poll(node: &Arc<Node>, log: &mut SchedulerLog) -> Duration {
     let now = node.now();
     let mut controller = node.controller();
     let effects = controller.poll(now);
     let epoch = controller.epoch();
+    let records_revision = controller.records().revision;
     if !controller.may_answer(now) {
+        log.commands.flush();
         return FOLLOWER_WAIT;
     }
     let Some(scheduler) = controller.scheduler_in_epoch(epoch) else {
+        log.commands.flush();
         return FOLLOWER_WAIT;
     };
-    log_diagnostics(scheduler, now, last_summary_at);
-    let wait = node.clock.time_until(scheduler.next_poll());
+    log_diagnostics(scheduler, records_revision, now, log);
+    let next_poll = scheduler.next_poll();
+    let next_poll = log
+        .commands
+        .due_at()
+        .map_or(next_poll, |due| due.min(next_poll));
+    let wait = node.clock.time_until(next_poll);
     for effect in effects {
         tokio::spawn(execute(node.clone(), epoch, effect));
     }
     wait
 }
 
-fn log_diagnostics(scheduler: &mut Scheduler, now: Micros, last_summary_at: &mut Micros) {
+fn log_diagnostics(
+    scheduler: &mut Scheduler,
+    records_revision: u64,
+    now: Micros,
+    log: &mut SchedulerLog,
+) {
+    log.commands.write(scheduler, now);
     for alert in scheduler.take_alerts(now) {
         tracing::error!("{alert}");
     }
     for job in scheduler.take_failing_jobs() {
         tracing::info!("{job} fails on several machines: its tasks are retried at increasing intervals until one of them completes");
     }
-    if now.since(*last_summary_at) > SUMMARY_INTERVAL {
-        *last_summary_at = now;
-        tracing::info!("{}", scheduler.summary());
+    if now.since(log.last_summary_at) > SUMMARY_INTERVAL {
+        log.last_summary_at = now;
+        tracing::info!(
+            "{} records at revision {records_revision}",
+            scheduler.summary()
+        );
     }
 }
 
@@ -96,7 +121,6 @@
             commands,
         } => {
             let sent = SentCommands::new(machine, agent_epoch, fencing_token, &commands);
-            tracing::debug!("commands to {}: {commands:?}", sent.machine);
             let body = agents::encode_commands(fencing_token, Some(agent_epoch), &commands);
             let outcome = send_commands(&node, &addr, body).await;
             deliver(&node, epoch, |scheduler, now| {
--- a/crates/saltpitch/src/leadership.rs
+++ b/crates/saltpitch/src/leadership.rs
@@ -177,8 +177,11 @@
     let elected =
         controller.election_won(attempt, store_lease, revision, lease_granted_at, now, wall);
     if let Some(scheduler) = controller.scheduler().filter(|_| elected) {
-        let (term, summary) = (scheduler.term(), scheduler.summary());
-        tracing::info!("leader in term {term}, {summary}");
+        let (term, first_token) = (scheduler.term(), scheduler.first_token());
+        let summary = scheduler.summary();
+        tracing::info!(
+            "leader in term {term}, fencing tokens from {first_token}, records at revision {revision}, {summary}"
+        );
     }
     elected
 }
--- a/crates/saltpitch/src/main.rs
+++ b/crates/saltpitch/src/main.rs
@@ -8,6 +8,7 @@
 mod clock;
 mod cloud;
 mod cloud_sync;
+mod command_log;
 mod connection_limit;
 mod effects;
 mod fresh_reads;
