--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,8 +6,10 @@
 mod site;
 mod state;
 
+mod cut;
 mod relist;
 mod reports;
+mod rounding;
 
 /// The result of a case.
 pub enum Outcome {
@@ -30,6 +32,8 @@
     log::open(&format!("{folder}/record.txt"));
     log::line(format!("case {case}, trouble {trouble}"));
     let outcome = std::panic::catch_unwind(|| match case.as_str() {
+        "cut" => cut::run(root, folder, trouble),
+        "rounding" => rounding::run(root, folder, trouble),
         "relist" => relist::run(root, folder, trouble),
         "reports" => reports::run(root, folder, trouble),
         _ => Outcome::CouldNotRun(format!("no case {case}")),
--- a/review/standins-2/site.rs
+++ b/review/standins-2/site.rs
@@ -159,8 +159,8 @@
     pub is_up: bool,
     /// Deleted, taken or failed.
     pub is_gone: bool,
-    /// Whether the cloud took the machine away or it stopped by itself.
-    pub has_failed: bool,
+    /// When the machine stopped by itself, until it is returned.
+    pub failed_at: Option<f64>,
     pub session: u64,
     pub sequence: u64,
     pub token: u64,
@@ -203,6 +203,8 @@
     pub names: Vec<String>,
     pub starts: u64,
     pub service_starts: u64,
+    /// The machines that were returned to the cloud.
+    pub returned: BTreeSet<String>,
     pub no_capacity: bool,
     pub reports_refused: u64,
     pub largest_report: usize,
@@ -658,7 +660,7 @@
             up_at,
             is_up: false,
             is_gone: false,
-            has_failed: false,
+            failed_at: None,
             session: 1,
             sequence: 0,
             token: 0,
@@ -695,10 +697,11 @@
     loop {
         let w = lock(world);
         let worker = &w.workers[name];
-        if worker.is_gone || !worker.is_up {
+        if worker.failed_at.is_none() && (worker.is_gone || !worker.is_up) {
             return Answer::Close;
         }
-        if !worker.is_hung {
+        // A machine that stopped says nothing, and one that hangs says nothing for now.
+        if !worker.is_hung && worker.failed_at.is_none() {
             break;
         }
         drop(w);
@@ -966,9 +969,10 @@
             let mut w = lock(world);
             log::line(format!("returned: {}", request.body));
             for name in body.list("bollards") {
+                w.returned.insert(name.as_text().to_owned());
                 if let Some(worker) = w.workers.get_mut(name.as_text()) {
                     worker.is_gone = true;
-                    worker.has_failed = false;
+                    worker.failed_at = None;
                     worker.tasks.clear();
                 }
             }
@@ -1116,6 +1120,7 @@
         names,
         starts: 0,
         service_starts: 0,
+        returned: BTreeSet::new(),
         no_capacity: false,
         reports_refused: 0,
         largest_report: 0,
@@ -1149,9 +1154,14 @@
                 let rows = w
                     .workers
                     .values()
-                    .filter(|worker| !worker.is_gone)
+                    .filter(|worker| !worker.is_gone || worker.failed_at.is_some())
                     .map(|worker| {
-                        let status = if worker.is_up { "running" } else { "booting" };
+                        // A machine that stopped keeps being listed as running for roughly 30 s.
+                        let status = match worker.failed_at {
+                            Some(at) if now > at + 30.0 => "failed",
+                            _ if worker.is_up => "running",
+                            _ => "booting",
+                        };
                         (worker.name.clone(), format!("{{\"ref\":{},\"endpoint\":\"{}\",\"hull_type\":{},\"basin\":{},\"lay_by\":{},\"status\":\"{status}\",\"age_s\":{:.1}}}",
                             quote(&worker.name), worker.addr, quote(&worker.kind), quote(&worker.zone), worker.spot, now - worker.ordered_at))
                     })
