--- a/review/standins-2/cut.rs
+++ b/review/standins-2/cut.rs
@@ -90,7 +90,7 @@
     let mut waited = 0.0;
     while waited <= LIMIT {
         std::thread::sleep(Duration::from_millis(500));
-        let mut w = lock(&site.world);
+        let w = lock(&site.world);
         if w.workers
             .values()
             .any(|x| x.tasks.keys().any(|(job, _, _)| job == WAITING))
--- a/review/standins-2/relist.rs
+++ b/review/standins-2/relist.rs
@@ -40,30 +40,25 @@
     let Some(leader) = site.leader() else {
         return Outcome::CouldNotRun("no leader".into());
     };
-    let node = (leader + 1) % 3;
-    let other = (leader + 2) % 3;
+    let followers = [(leader + 1) % 3, (leader + 2) % 3];
     log::line(format!(
-        "bollard-{leader} leads; bollard-{node} is the one that is refused"
+        "bollard-{leader} leads; the others are refused by turns"
     ));
 
-    let seen = Arc::new(Mutex::new(Seen::default()));
+    let seen: Arc<Mutex<[Seen; 3]>> = Arc::default();
     let stop = Arc::new(AtomicBool::new(false));
     let listings = Arc::new(AtomicUsize::new(0));
-    let end_refusal = Arc::new(AtomicBool::new(false));
     {
-        let (seen, listings, end_refusal) = (seen.clone(), listings.clone(), end_refusal.clone());
+        let (seen, listings) = (seen.clone(), listings.clone());
         site.state
             .set_observer(Box::new(move |from, request, status, body| {
-                if from != node {
+                if from == leader {
                     return;
                 }
-                let mut seen = seen.lock().expect("no panic");
+                let seen = &mut seen.lock().expect("no panic")[from];
                 if request.path == "/watch" && request.parameter("wait_ms") != Some("0") {
                     if status == 503 {
                         seen.refused_watches += 1;
-                        if seen.refused_watches % 5 == 0 {
-                            end_refusal.store(true, Ordering::Relaxed);
-                        }
                     } else {
                         seen.refused_watches = 0;
                     }
@@ -79,12 +74,15 @@
         let seen = seen.clone();
         let mut random = u64::from(std::process::id()) * 0x9E37_79B9_7F4A_7C15 + 1;
         site.state.set_delay(Some(Box::new(move |from, request| {
-            let slow_until = seen.lock().expect("no panic").slow_until;
+            let slow_until = seen.lock().expect("no panic")[from].slow_until;
             let is_slow_time = slow_until.is_some_and(|until| Instant::now() < until);
             random ^= random << 13;
             random ^= random >> 7;
             random ^= random << 17;
-            if from != node || request.path != "/watch" || !is_slow_time || (random >> 33) % 3 == 0
+            if from == leader
+                || request.path != "/watch"
+                || !is_slow_time
+                || (random >> 33) % 3 == 0
             {
                 return Delay::default();
             }
@@ -100,7 +98,7 @@
         })));
     }
 
-    // Users submit jobs at one controller and ask for them at the other.
+    // Users submit jobs at the leader and ask for them at the others.
     let accepted: Arc<Mutex<Vec<String>>> = Arc::default();
     let mut threads = Vec::new();
     {
@@ -116,14 +114,16 @@
                 number += 1;
                 let id = format!("job-{number:06}");
                 let body = job(&id, "longstay-ops", "sweep", "normal", 2, 1.0, 1.0, 60.0);
-                if submit(&world, &api, other, &id, &body).is_some_and(|(status, _)| status < 300) {
+                if submit(&world, &api, leader, &id, &body).is_some_and(|(status, _)| status < 300)
+                {
                     accepted.lock().expect("no panic").push(id);
                 }
                 std::thread::sleep(Duration::from_millis(40));
             }
         }));
     }
-    for user in 0..8 {
+    for user in 0..16 {
+        let node = followers[user / 8];
         let (world, api, stop, accepted) = (
             site.world.clone(),
             site.api.clone(),
@@ -146,25 +146,24 @@
     }
     std::thread::sleep(Duration::from_secs(2));
     let ends = Instant::now() + Duration::from_secs(90);
+    let mut node = followers[0];
     while Instant::now() < ends && lock(&site.world).violations.is_empty() {
+        node = followers[usize::from(node == followers[0])];
+        seen.lock().expect("no panic")[node].refused_watches = 0;
         if trouble {
-            end_refusal.store(false, Ordering::Relaxed);
-            seen.lock().expect("no panic").refused_watches = 0;
             site.state.set_refused(node, true);
             log::line(format!("the state service refuses bollard-{node}"));
-            let until = Instant::now() + Duration::from_secs(20);
-            while Instant::now() < until && !end_refusal.load(Ordering::Relaxed) {
+            let until = Instant::now() + Duration::from_secs(8);
+            while Instant::now() < until && seen.lock().expect("no panic")[node].refused_watches < 5
+            {
                 std::thread::sleep(Duration::from_millis(5));
             }
-        } else {
-            std::thread::sleep(Duration::from_secs(4));
-        }
-        seen.lock().expect("no panic").slow_until = Some(Instant::now() + SLOW_TIME);
-        if trouble {
             site.state.set_refused(node, false);
             log::line(format!("the state service serves bollard-{node} again"));
+        } else {
+            std::thread::sleep(Duration::from_millis(2_500));
         }
-        std::thread::sleep(Duration::from_millis(1_600));
+        seen.lock().expect("no panic")[node].slow_until = Some(Instant::now() + SLOW_TIME);
     }
     stop.store(true, Ordering::Relaxed);
     for thread in threads {
--- a/review/standins-2/site.rs
+++ b/review/standins-2/site.rs
@@ -210,9 +210,6 @@
     pub largest_report: usize,
     pub expired_leases: u64,
     cloud_calls: (f64, f64),
-    pub cloud_outage: bool,
-    pub sent_orders: Vec<(SocketAddr, String)>,
-    pub sent_reports: Vec<String>,
     /// The lists of machines as they were: time and rows.
     list_history: Vec<(f64, Vec<(String, String)>)>,
 }
@@ -728,8 +725,6 @@
         short(&request.body)
     ));
     w.execute(name, body.list("orders"), now);
-    let addr = w.workers[name].addr;
-    w.sent_orders.push((addr, request.body.clone()));
     Answer::Reply(200, w.report(name))
 }
 
@@ -772,7 +767,6 @@
             let session = worker.session;
             let body = w.report(name);
             w.largest_report = w.largest_report.max(body.len());
-            w.sent_reports.push(body.clone());
             let addr = w.api[target];
             (
                 if is_cut { None } else { Some(addr) },
@@ -873,9 +867,6 @@
             return Answer::Reply(429, "{}".into());
         }
         w.cloud_calls = (level - 1.0, now);
-        if w.cloud_outage {
-            return Answer::Reply(503, "{\"error\":\"trouble\"}".into());
-        }
     }
     match (request.method.as_str(), request.path.as_str()) {
         ("GET", "/catalog") => {
@@ -990,7 +981,6 @@
     root: PathBuf,
     log_level: String,
     record_folder: PathBuf,
-    extra: Vec<String>,
 }
 
 impl Controllers {
@@ -1003,7 +993,6 @@
         let child = Command::new(self.root.join(&self.run[0]))
             .args(&self.run[1..])
             .arg(self.folder.join(format!("n{n}.json")))
-            .args(&self.extra)
             .current_dir(&self.root)
             .env("LOG_LEVEL", &self.log_level)
             .stdin(Stdio::null())
@@ -1017,47 +1006,6 @@
         ));
         self.children[n] = Some(child);
     }
-
-    pub fn kill(&mut self, n: usize) {
-        if let Some(mut child) = self.children[n].take() {
-            let _ = child.kill();
-            let _ = child.wait();
-            log::line(format!("controller bollard-{n} is killed"));
-        }
-    }
-
-    pub fn signal(&self, n: usize, name: &str) {
-        if let Some(child) = &self.children[n] {
-            let _ = Command::new("bash")
-                .args(["-c", &format!("kill -{name} {}", child.id())])
-                .status();
-            log::line(format!("controller bollard-{n} gets {name}"));
-        }
-    }
-
-    /// The memory that the process holds for itself, in kB.
-    pub fn memory_kb(&self, n: usize) -> u64 {
-        let Some(child) = &self.children[n] else {
-            return 0;
-        };
-        let status =
-            std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
-        let line = status
-            .lines()
-            .find_map(|line| line.strip_prefix("RssAnon:"));
-        line.and_then(|line| line.trim().trim_end_matches("kB").trim().parse().ok())
-            .unwrap_or(0)
-    }
-
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&mut self, n: usize) -> Option<String> {
-        let child = self.children[n].as_mut()?;
-        child
-            .try_wait()
-            .ok()
-            .flatten()
-            .map(|status| status.to_string())
-    }
 }
 
 impl Drop for Controllers {
@@ -1126,9 +1074,6 @@
         largest_report: 0,
         expired_leases: 0,
         cloud_calls: (10.0, 0.0),
-        cloud_outage: false,
-        sent_orders: Vec::new(),
-        sent_reports: Vec::new(),
         list_history: Vec::new(),
     }));
     let shared = world.clone();
@@ -1180,7 +1125,6 @@
         root: PathBuf::from(root),
         log_level: std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into()),
         record_folder: PathBuf::from(record_folder),
-        extra: Vec::new(),
     };
     Site {
         world,
@@ -1333,22 +1277,6 @@
     result
 }
 
-pub fn abort(world: &Shared, api: &[SocketAddr], node: usize, id: &str) -> Option<(u16, String)> {
-    lock(world)
-        .jobs
-        .entry(id.to_owned())
-        .or_default()
-        .abort_asked = true;
-    let reply = http::call(
-        api[node],
-        "POST",
-        &format!("/v2/runs/{id}/abort"),
-        "{}",
-        Duration::from_secs(5),
-    );
-    record(world, node, "abort", id, reply)
-}
-
 fn record(
     world: &Shared,
     node: usize,
--- a/review/standins-2/state.rs
+++ b/review/standins-2/state.rs
@@ -64,7 +64,6 @@
     dropped_up_to: u64,
     leases: HashMap<u64, Lease>,
     next_lease: u64,
-    pub outage: bool,
     pub refused: Vec<bool>,
     requests: Bucket,
     writes: Bucket,
@@ -82,7 +81,7 @@
     }
 
     fn is_refused(&self, node: usize) -> bool {
-        self.outage || self.refused[node]
+        self.refused[node]
     }
 
     fn record(&mut self, key: String, value: Option<String>) {
@@ -148,7 +147,6 @@
                 dropped_up_to: 0,
                 leases: HashMap::new(),
                 next_lease: 1,
-                outage: false,
                 refused: vec![false; nodes],
                 requests: Bucket::new(rps),
                 writes: Bucket::new(write_rps),
@@ -187,20 +185,6 @@
         *self.observer.lock().expect("no panic") = Some(observer);
     }
 
-    /// Begins or ends an outage. At its end every lease has its full time again.
-    pub fn set_outage(&self, outage: bool) {
-        let mut inner = self.lock();
-        if inner.outage && !outage {
-            let now = Instant::now();
-            for lease in inner.leases.values_mut() {
-                lease.ends = now + lease.ttl;
-            }
-        }
-        inner.outage = outage;
-        drop(inner);
-        self.changed.notify_all();
-    }
-
     pub fn set_refused(&self, node: usize, refused: bool) {
         self.lock().refused[node] = refused;
         self.changed.notify_all();
@@ -208,9 +192,6 @@
 
     fn expire_leases(&self) {
         let mut inner = self.lock();
-        if inner.outage {
-            return;
-        }
         let now = Instant::now();
         let ended: Vec<u64> = inner
             .leases
