--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -19,6 +19,7 @@
             kill -9 "$id" 2>/dev/null
         fi
     done
+    rm -rf "${TMPDIR:-/tmp}/saltpitch-review-$child-"*
     exit 2
 }
 trap stop TERM INT HUP
