--- a/review/standins-2/cut.rs
+++ b/review/standins-2/cut.rs
@@ -7,7 +7,7 @@
 use crate::Outcome;
 
 const TEAM: &str = "transit-study";
-/// Fills the memory of its machines and leaves most of their processors.
+/// Fills the memory of its machines and leaves most of their CPUs.
 const FILLER: &str = "job-000101";
 /// A small task on the machine that has room.
 const SMALL: &str = "job-000102";
@@ -60,7 +60,7 @@
     if !place(one(FILLER, 50, 4.0, mem), 50, 15) || !place(one(SMALL, 1, 1.0, 1.0), 1, 10) {
         return Outcome::CouldNotRun("the first jobs were not placed".into());
     }
-    log::line("50 machines have no memory left, one has 31 GB and 15 processors");
+    log::line("50 machines have no memory left, one has 31 GB and 15 CPUs");
     if trouble {
         let name = {
             let mut w = lock(&site.world);
@@ -124,6 +124,6 @@
         }
     }
     Outcome::Broken(format!(
-        "{WAITING} has waited for {waited:.1} s while a machine had 15 processors and 31 GB free"
+        "{WAITING} has waited for {waited:.1} s while a machine had 15 CPUs and 31 GB free"
     ))
 }
