Read the records in the simulation with answers that take time

The simulation read, listed and applied the records in one step, so that no seeded history could have an answer on its way. A history may now give each request for a page, for changes or for a job's record a delay of its own, with a watch or listing and a read of the latest changes under way in one process at once; it refuses controllers, one or all, and lets users ask every controller about the newest jobs. It counts how often a listing or a read was older than the copy when it arrived.

So that the simulation plays the program's own code, the part of a listing without input or output moves to the core (records/listing.rs), and with it the end of a listing (controller/copy_replacement.rs). The revision of a copy can only rise (RecordCache::advance_to). The simulation decodes each job's record once.

--- a/crates/saltpitch-cells/src/origin/writes.rs
+++ b/crates/saltpitch-cells/src/origin/writes.rs
@@ -43,7 +43,7 @@
         match records.job(&self.write.job) {
             Some(job) => job.revision() > self.expected_revision,
             None => {
-                !records.ended_jobs().is_complete() && records.revision > self.expected_revision
+                !records.ended_jobs().is_complete() && records.revision() > self.expected_revision
             }
         }
     }
--- a/crates/saltpitch-cells/tests/host_admission.rs
+++ b/crates/saltpitch-cells/tests/host_admission.rs
@@ -101,11 +101,11 @@
 }
 
 fn put(records: &mut RecordCache, id: &str, record: &JobRecord) {
-    records.revision += 1;
+    records.advance_to(records.revision() + 1);
     let text = serde_json::to_string(record).expect("JSON");
     let raw = RawValue::from_string(text).expect("JSON");
     records
-        .put(&job_key(id), &raw, records.revision)
+        .put(&job_key(id), &raw, records.revision())
         .expect("read");
 }
 
--- a/crates/saltpitch-core/src/controller/mod.rs
+++ b/crates/saltpitch-core/src/controller/mod.rs
@@ -5,11 +5,12 @@
 //! as complete. The async tasks of the program and the simulated site in `saltpitch-testkit` drive the same
 //! code: they transport messages, keep timers and execute effects, but make none of these decisions.
 //!
-//! Submodules: `record_sync` follows the state service, `leader_election` acquires, renews and gives up
+//! Submodules: `record_sync` follows the state service, `copy_replacement` takes over listings, `leader_election` acquires, renews and gives up
 //! the leadership, `peer_heartbeats` and `agent_heartbeats` answer peers and agents, and [`notice`] defines
 //! the events for the operators' log.
 
 mod agent_heartbeats;
+mod copy_replacement;
 mod leader_election;
 pub mod notice;
 mod peer_heartbeats;
@@ -26,9 +27,9 @@
 use crate::time::Micros;
 
 pub use agent_heartbeats::HeartbeatAnswer;
+pub use copy_replacement::{ListingEnd, OutdatedLayout};
 pub use leader_election::{Candidacy, Resignation, TermIncrement};
 pub use notice::{LossReason, Notice};
-pub use record_sync::OutdatedLayout;
 
 /// How long a peer counts as alive after its last heartbeat.
 pub const PEER_TIMEOUT: Micros = Micros::from_secs(3);
--- a/crates/saltpitch-core/src/controller/peer_heartbeats.rs
+++ b/crates/saltpitch-core/src/controller/peer_heartbeats.rs
@@ -32,7 +32,7 @@
     /// Builds a heartbeat to `peer`. A leader also requests an acknowledgement of cancellations.
     pub fn peer_heartbeat(&self, peer: &str, store: StoreHealth, now: Micros) -> PeerStatus {
         let ack_request = self.leadership.as_ref().map(|leadership| AckRequest {
-            revision: self.records.revision,
+            revision: self.records.revision(),
             cursor: leadership.acks.cursor(peer),
         });
         PeerStatus {
--- a/crates/saltpitch-core/src/controller/record_sync.rs
+++ b/crates/saltpitch-core/src/controller/record_sync.rs
@@ -1,12 +1,11 @@
-//! Keeps the copy of the records up to date from the state service's changes and listings and from this
-//! process's own writes.
+//! Keeps the copy of the records up to date from the state service's changes and from this process's own writes.
 
 use std::collections::BTreeSet;
 
 use crate::job::JobState;
 use crate::leadership::{ProcessIdentity, LEADERSHIP_LEASE};
 use crate::records::{
-    job_id, job_key, node_key, Change, JobRead, JobRecord, NodeRecord, RecordCache, RecordChange,
+    job_id, job_key, node_key, Change, JobRead, JobRecord, NodeRecord, RecordChange,
 };
 use crate::scheduler::{Precondition, Write};
 use crate::time::Micros;
@@ -17,11 +16,6 @@
 /// The field of a job's specification with its dependencies, as the record has it.
 const DEPENDENCIES_FIELD: &str = "\"needs\"";
 
-/// The error for records of an older layout, with which this version must not serve.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the state service holds an earlier version's records: not serving")]
-pub struct OutdatedLayout;
-
 /// A write that puts this process's incarnation on record.
 #[derive(Clone, Debug)]
 pub struct Announcement {
@@ -44,17 +38,17 @@
         now: Micros,
         wall: Micros,
     ) -> bool {
-        if from > self.records.revision {
+        if from > self.records.revision() {
             return false;
         }
-        let known = self.records.revision;
+        let known = self.records.revision();
         let mut job_changed = false;
         for change in changes {
             if change.revision > known {
                 job_changed |= self.apply_change(&change, now, wall);
             }
         }
-        self.records.revision = self.records.revision.max(upto);
+        self.records.advance_to(upto);
         self.records.trim();
         job_changed
     }
@@ -72,7 +66,7 @@
             return BTreeSet::new();
         }
         // Changes up to the copy's revision are not applied again, so the job that they end may be evicted already.
-        let is_new = |change: &&RecordChange| change.revision > self.records.revision;
+        let is_new = |change: &&RecordChange| change.revision > self.records.revision();
         let new_job_changes = changes.iter().filter(is_new);
         let changed_jobs: BTreeSet<&str> = new_job_changes
             .clone()
@@ -91,18 +85,6 @@
             .collect()
     }
 
-    /// Returns the ended jobs whose outcomes a new listing has to have before it replaces the copy, without those in
-    /// `reads`: dependencies of live jobs and, for a leader, jobs that its scheduler still has.
-    pub fn unknown_outcomes(&self, records: &RecordCache, reads: &[JobRead]) -> BTreeSet<String> {
-        let mut unknown = BTreeSet::from_iter(records.unknown_dependencies());
-        if self.is_leader() && !records.ended_jobs().is_complete() {
-            let live = self.records.jobs.keys();
-            unknown.extend(live.filter(|id| records.job(id).is_none()).cloned());
-        }
-        unknown.retain(|id| !reads.iter().any(|read| read.id == *id));
-        unknown
-    }
-
     /// Adds the records of ended jobs that were read by their keys.
     pub fn apply_job_reads(&mut self, reads: &[JobRead]) {
         for read in reads {
@@ -160,44 +142,6 @@
         false
     }
 
-    /// Replaces the copy of the records by a new listing. `records.revision` must be the revision of the first
-    /// page, so that the changes made during the listing are applied from there.
-    pub fn replace_records(
-        &mut self,
-        records: RecordCache,
-        now: Micros,
-        wall: Micros,
-    ) -> Result<(), OutdatedLayout> {
-        if records.has_earlier_layout {
-            return Err(OutdatedLayout);
-        }
-        let old = std::mem::replace(&mut self.records, records);
-        if old.term.revision != self.records.term.revision {
-            self.term_seen_at = now;
-        }
-        let ended_meanwhile: Vec<String> = {
-            let live_before = old.jobs.keys();
-            let ended = live_before.filter(|id| !self.records.jobs.contains_key(*id));
-            ended.cloned().collect()
-        };
-        self.records.carry_over_from(old);
-        self.synced = true;
-        self.last_cancellation_at = Some(now);
-        self.adopt_recorded_catalog();
-        self.check_recorded_term();
-        if let Some(leadership) = &mut self.leadership {
-            for id in self.records.jobs.keys().chain(&ended_meanwhile) {
-                leadership
-                    .scheduler
-                    .job_changed(&self.records, id, now, wall);
-            }
-            leadership.scheduler.records_replaced(&self.records);
-        }
-        self.records.set_max_ended_jobs(self.config.max_ended_jobs);
-        self.records.trim();
-        Ok(())
-    }
-
     /// Returns the record that announces this process.
     pub(super) fn node_record(&self) -> NodeRecord {
         NodeRecord {
@@ -281,7 +225,7 @@
         }
     }
 
-    fn adopt_recorded_catalog(&mut self) {
+    pub(super) fn adopt_recorded_catalog(&mut self) {
         if self.catalog.is_none() {
             self.catalog = self.records.catalog.as_ref().map(|c| c.value.clone());
         }
--- a/crates/saltpitch-core/src/records/mod.rs
+++ b/crates/saltpitch-core/src/records/mod.rs
@@ -7,6 +7,7 @@
 mod delegation;
 mod ended_jobs;
 mod keys;
+mod listing;
 mod record_cache;
 mod recorded_tasks;
 mod returned_machines;
@@ -22,6 +23,7 @@
     checkpoint_key, job_id, job_key, machine_block_key, node_key, segment_key, CATALOG_KEY,
     LEADER_KEY, MACHINES_PER_BLOCK, PREFIX, TASKS_PER_CHECKPOINT, TERM_KEY,
 };
+pub use listing::{RecordChanges, RecordListing, RecordPage, UnreadableRecord};
 pub use record_cache::{Change, JobEntry, RecordCache, RecordError, RecordedJob};
 pub use recorded_tasks::{
     AllocatedMachine, Checkpoint, RecordedRange, RecordedSegment, TaskState, TaskStates,
--- a/crates/saltpitch-core/src/records/record_cache/mod.rs
+++ b/crates/saltpitch-core/src/records/record_cache/mod.rs
@@ -91,7 +91,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct RecordCache {
     /// The revision up to which the copy is complete.
-    pub revision: u64,
+    revision: u64,
     /// The jobs without a final record, by id.
     pub jobs: HashMap<String, JobEntry>,
     /// The outcomes of recently ended jobs, and of those on which an active job depends.
@@ -148,6 +148,16 @@
 }
 
 impl RecordCache {
+    /// Returns the revision up to which the copy is complete: all changes up to it are applied.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Raises the revision after all changes up to `revision` were applied. It never falls.
+    pub fn advance_to(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
     /// Applies a write of one key, unless a newer one has already been applied. A record that cannot be read is
     /// refused and leaves the cached record unchanged.
     pub fn put(&mut self, key: &str, raw: &RawValue, revision: u64) -> Result<Change, RecordError> {
--- a/crates/saltpitch-core/tests/controller.rs
+++ b/crates/saltpitch-core/tests/controller.rs
@@ -61,7 +61,7 @@
             .put(key, &raw(value), 1)
             .expect("the record is readable");
     }
-    records.revision = 1;
+    records.advance_to(1);
     controller
         .replace_records(records, START, START)
         .expect("the records have the present layout");
@@ -279,7 +279,7 @@
     };
     controller.apply_changes(1, [change], 2, START, START);
     assert!(!controller.records().jobs.contains_key("job-000009"));
-    assert_eq!(controller.records().revision, 2);
+    assert_eq!(controller.records().revision(), 2);
     let notices = controller.take_notices();
     assert!(
         matches!(&notices[..], [Notice::UnreadableRecord { key, .. }] if key == "salt/j/job-000009"),
@@ -432,7 +432,7 @@
     }
     follower.apply_changes(1, history.since(1), history.revision(), START, START);
     let mut records = RecordCache::new(max_ended_jobs);
-    records.revision = history.revision();
+    records.advance_to(history.revision());
     let mut last_key = String::new();
     loop {
         let remaining = (
@@ -458,12 +458,12 @@
     reloaded
         .replace_records(records, START, START)
         .expect("the records have the present layout");
-    let from = reloaded.records().revision;
+    let from = reloaded.records().revision();
     reloaded.apply_changes(from, history.since(from), history.revision(), START, START);
-    let from = follower.records().revision;
+    let from = follower.records().revision();
     follower.apply_changes(from, history.since(from), history.revision(), START, START);
     let (reloaded, follower) = (reloaded.records(), follower.records());
-    assert_eq!(reloaded.revision, follower.revision, "seed {seed}");
+    assert_eq!(reloaded.revision(), follower.revision(), "seed {seed}");
     assert_eq!(summary(reloaded), summary(follower), "seed {seed}");
 }
 
@@ -515,7 +515,7 @@
     leader.apply_changes(2, changes, 5, START, START);
     let ended = JobRecord::final_record(JobState::Done, None);
     let mut listed = RecordCache::new(0);
-    listed.revision = 9;
+    listed.advance_to(9);
     for (id, record, revision) in [
         ("job-000001", &ended, 7),
         ("job-000003", &ended, 8),
--- a/crates/saltpitch-core/tests/harness/mod.rs
+++ b/crates/saltpitch-core/tests/harness/mod.rs
@@ -215,7 +215,7 @@
         };
         put(&mut records, TERM_KEY, &term, 1);
         build(&mut records);
-        records.revision = 10;
+        records.advance_to(10);
         let now = secs(1_000);
         let scheduler = Scheduler::new(
             config,
@@ -259,7 +259,7 @@
                 }
             }
         }
-        self.records.revision = self.revision;
+        self.records.advance_to(self.revision);
     }
 
     /// Answers a scale-out request with new machines.
--- a/crates/saltpitch-core/tests/limits.rs
+++ b/crates/saltpitch-core/tests/limits.rs
@@ -116,7 +116,7 @@
             let raw = RawValue::from_string(value.clone()).expect("the value is JSON");
             records.put(key, &raw, 1).expect("the record is readable");
         }
-        records.revision = 1;
+        records.advance_to(1);
         let now = secs(1_000);
         let scheduler = Scheduler::new(config, &records, catalog(), secs(0), now, now);
         LimitedStoreHarness {
--- a/crates/saltpitch-core/tests/retention.rs
+++ b/crates/saltpitch-core/tests/retention.rs
@@ -49,7 +49,7 @@
         value: Some(raw(value)),
         revision,
     };
-    let from = controller.records().revision;
+    let from = controller.records().revision();
     controller.apply_changes(from, [change], revision, START, START);
 }
 
@@ -68,7 +68,7 @@
 /// Lets a number of further jobs run and end. Returns the last revision.
 fn end_jobs(controller: &mut Controller, numbers: std::ops::Range<u64>) -> u64 {
     for number in numbers {
-        let revision = controller.records().revision;
+        let revision = controller.records().revision();
         let key = job_key(&job_id(number));
         apply(controller, &key, &active_job(&[]), revision + 1);
         apply(
@@ -78,7 +78,7 @@
             revision + 2,
         );
     }
-    controller.records().revision
+    controller.records().revision()
 }
 
 /// Guards against review/3: a controller keeps something of every job that was ever accepted.
@@ -102,7 +102,7 @@
     let mut controller = controller();
     end_jobs(&mut controller, 1..2);
     let dependent = job_key("job-900000");
-    let revision = controller.records().revision + 1;
+    let revision = controller.records().revision() + 1;
     apply(
         &mut controller,
         &dependent,
@@ -163,7 +163,7 @@
 #[test]
 fn a_dependency_in_changes_that_are_known_already_may_have_left_memory() {
     let mut controller = controller();
-    let revision = controller.records().revision;
+    let revision = controller.records().revision();
     let change = |id: &str, value: String, revision| RecordChange {
         key: job_key(id),
         value: Some(raw(&value)),
@@ -219,7 +219,7 @@
         value: Some(raw(&active_job(&[]))),
         revision: 2,
     };
-    let revision = controller.records().revision;
+    let revision = controller.records().revision();
     controller.apply_changes(1, [late], revision, START, START);
     assert!(controller.records().job(&job_id(1)).is_none());
     assert!(controller.records().jobs.is_empty());
@@ -230,7 +230,7 @@
 #[test]
 fn an_end_that_is_ahead_of_the_known_changes_is_not_evicted() {
     let mut controller = controller();
-    let revision = controller.records().revision;
+    let revision = controller.records().revision();
     for number in 0..10 {
         let change = RecordChange {
             key: job_key(&job_id(number)),
@@ -262,7 +262,7 @@
     const JOBS: u64 = 60_000;
     const ROWS_PER_PAGE: u64 = 1_000;
     let mut records = RecordCache::new(MAX_ENDED_JOBS);
-    records.revision = JOBS;
+    records.advance_to(JOBS);
     let value = raw(&final_record(JobState::Cancelled));
     for number in 0..JOBS {
         // The order of ids says nothing about the order of revisions.
@@ -313,10 +313,10 @@
 fn the_images_of_returned_machines_are_not_kept() {
     let mut controller = controller();
     let job = job_key(&job_id(1));
-    let revision = controller.records().revision;
+    let revision = controller.records().revision();
     apply(&mut controller, &job, &active_job(&[]), revision + 1);
     for number in 0..1_000 {
-        let revision = controller.records().revision;
+        let revision = controller.records().revision();
         let block = format!(
             r#"{{"t":"plain","z":"east","s":true,"m":[["vm-{number:06}","10.1.0.1:9000",false,5]]}}"#
         );
@@ -348,7 +348,7 @@
 fn after_an_unreadable_record_a_missing_job_may_have_been_accepted() {
     let mut controller = controller();
     assert!(controller.records().ended_jobs().is_complete());
-    let revision = controller.records().revision;
+    let revision = controller.records().revision();
     apply(
         &mut controller,
         &job_key(&job_id(1)),
@@ -362,7 +362,7 @@
 #[test]
 fn a_listing_asks_for_the_outcomes_that_live_jobs_need() {
     let mut records = RecordCache::new(MAX_ENDED_JOBS);
-    records.revision = 1_000;
+    records.advance_to(1_000);
     for number in 0..100 {
         let key = job_key(&job_id(number));
         let value = raw(&final_record(JobState::Done));
--- a/crates/saltpitch-testkit/src/histories.rs
+++ b/crates/saltpitch-testkit/src/histories.rs
@@ -6,7 +6,7 @@
 
 use crate::cells::{check_finished, Cells, LinkState};
 use crate::invariants::{Invariant, InvariantViolation};
-use crate::simulation::{Faults, Simulation};
+use crate::simulation::{Faults, ReadCounts, Simulation};
 
 /// The cell that delegates its jobs.
 pub const ORIGIN: usize = 0;
@@ -64,6 +64,54 @@
     Ok(simulation)
 }
 
+/// How long jobs are submitted in a history of [`play_delayed_reads`], and how long the site then has to complete them.
+const DELAYED_READS_BUSY_S: u64 = 30;
+const DELAYED_READS_QUIET_S: u64 = 60;
+/// How long no job is submitted at the start of such a history, and the pause between two submissions.
+const FIRST_SUBMISSION_AT: Micros = Micros::from_secs(5);
+const SUBMISSION_INTERVAL: Micros = Micros::from_millis(200);
+
+/// Plays a history in which reads of the records take time, controllers are refused by the state service, and users ask
+/// about the newest jobs again and again. Returns what happened to the reads, too.
+pub fn play_delayed_reads(
+    seed: u64,
+    faults: Faults,
+) -> (ReadCounts, Result<(), InvariantViolation>) {
+    let mut simulation = Simulation::new(seed, faults, seconds(DELAYED_READS_BUSY_S));
+    simulation.delay_record_reads();
+    let result = submit_short_jobs(&mut simulation, seed);
+    (simulation.read_counts(), result)
+}
+
+fn submit_short_jobs(simulation: &mut Simulation, seed: u64) -> Result<(), InvariantViolation> {
+    let mut at = FIRST_SUBMISSION_AT;
+    let mut number = 0;
+    while at < seconds(DELAYED_READS_BUSY_S) {
+        simulation.run(at)?;
+        let spec = short_job(simulation);
+        simulation.submit(&format!("job-{seed:03}{number:03}0"), spec);
+        number += 1;
+        at = at.plus(SUBMISSION_INTERVAL);
+    }
+    simulation.heal();
+    simulation.run(seconds(DELAYED_READS_BUSY_S + DELAYED_READS_QUIET_S))
+}
+
+/// Draws an array with one task that runs for a few seconds on any machine.
+fn short_job(simulation: &mut Simulation) -> JobSpec {
+    let mut spec = JobSpec {
+        kind: JobKind::Array,
+        tasks: 1,
+        spread: false,
+        zone: None,
+        one_zone: false,
+        ..simulation.draw_job()
+    };
+    spec.need.gpu = 0;
+    spec.estimate = seconds(3);
+    spec
+}
+
 /// Draws a job. Some jobs depend on earlier ones, whatever state those are in.
 fn draw_dependent_job(simulation: &mut Simulation, earlier: &[String]) -> JobSpec {
     let mut spec = simulation.draw_job();
--- a/crates/saltpitch-testkit/src/invariants.rs
+++ b/crates/saltpitch-testkit/src/invariants.rs
@@ -53,6 +53,8 @@
     for violation in starts {
         violation.clone().map_or(Ok(()), Err)?;
     }
+    let stale_answer = simulation.stale_answer();
+    stale_answer.cloned().map_or(Ok(()), Err)?;
     check_quotas(simulation, &running)?;
     check_zones(simulation)?;
     check_kept_jobs(simulation)?;
@@ -164,7 +166,7 @@
         }
         return Ok(());
     };
-    let record: JobRecord = match serde_json::from_str(&entry.value) {
+    let record = match entry.job_record() {
         Ok(record) => record,
         Err(error) => {
             return violation(
@@ -181,7 +183,7 @@
         .iter()
         .filter(|node| is_current(simulation, node))
     {
-        check_answer(simulation, node, id, &record)?;
+        check_answer(simulation, node, id, record)?;
     }
     check_state(simulation, id, job, record.state)
 }
@@ -216,7 +218,7 @@
 fn is_current(simulation: &Simulation, node: &Node) -> bool {
     node.is_up(simulation.now)
         && node.controller.is_synced()
-        && node.records().revision == simulation.store.revision
+        && node.records().revision() == simulation.store.revision
 }
 
 /// Checks what a controller with current records answers about a job, whose record this is: it knows the job, and a
--- a/crates/saltpitch-testkit/src/lib.rs
+++ b/crates/saltpitch-testkit/src/lib.rs
@@ -68,4 +68,4 @@
 pub mod store;
 pub mod trace;
 
-pub use simulation::{CopyCounts, Faults, Simulation};
+pub use simulation::{CopyCounts, Faults, ReadCounts, Simulation};
--- a/crates/saltpitch-testkit/src/nodes.rs
+++ b/crates/saltpitch-testkit/src/nodes.rs
@@ -17,6 +17,7 @@
 use serde_json::value::RawValue;
 
 use crate::previous_version;
+use crate::simulation::ProcessReads;
 use crate::store::Store;
 
 /// How many recently ended jobs a simulated process keeps: so few that most of a history's jobs are evicted.
@@ -68,6 +69,8 @@
     pub is_campaigning: bool,
     /// When the state service last served this process.
     store_success_at: Option<Micros>,
+    /// The reads under way, if reads take time.
+    pub(crate) reads: ProcessReads,
 }
 
 /// Returns a controller's configuration. The peers come from the settings, the scheduler's part depends on
@@ -122,6 +125,7 @@
             leaderless_since: None,
             is_campaigning: false,
             store_success_at: None,
+            reads: ProcessReads::default(),
         }
     }
 
@@ -244,6 +248,11 @@
         }
     }
 
+    /// Notes that the state service has served this process.
+    pub(crate) fn store_answered(&mut self, now: Micros) {
+        self.store_success_at = Some(now);
+    }
+
     /// Reads the changes of the records from the state service. A process that has just started lists all
     /// current records instead, in the order of keys.
     pub fn read_records(&mut self, store: &Store, now: Micros) {
@@ -255,7 +264,7 @@
         if !self.controller.is_synced() || is_listing_due {
             return self.list_records(store, now);
         }
-        let from = self.records().revision;
+        let from = self.records().revision();
         let changes = store
             .changes(from)
             .map(|(revision, key, value)| RecordChange {
@@ -305,7 +314,7 @@
         if in_memory.is_some() || is_kept_if_accepted {
             return in_memory;
         }
-        let value = store.value_at(&job_key(id), records.revision)?;
+        let value = store.value_at(&job_key(id), records.revision())?;
         let record = serde_json::from_str::<JobRecord>(value).ok()?;
         Some(record.state)
     }
@@ -392,7 +401,7 @@
 /// Returns all current records, with the outcomes of up to `max_ended_jobs` recently ended jobs.
 fn list_records(store: &Store, max_ended_jobs: usize) -> RecordCache {
     let mut records = RecordCache::new(max_ended_jobs);
-    records.revision = store.revision;
+    records.advance_to(store.revision);
     for (key, entry) in &store.keys {
         let Ok(value) = RawValue::from_string(entry.value.clone()) else {
             continue;
--- a/crates/saltpitch-testkit/src/simulation/controllers.rs
+++ b/crates/saltpitch-testkit/src/simulation/controllers.rs
@@ -72,7 +72,10 @@
             self.nodes[node_index].start(scheduler, now);
         }
         let store_reachable = self.nodes[node_index].can_reach_store(&self.store, now);
-        if store_reachable && self.is_due(RECORDS_INTERVAL) {
+        if self.are_reads_delayed() {
+            self.follow_records(node_index);
+            self.prepare_to_lead(node_index, store_reachable);
+        } else if store_reachable && self.is_due(RECORDS_INTERVAL) {
             self.read_records(node_index);
         }
         if self.is_due(RENEWAL_INTERVAL) {
@@ -115,6 +118,17 @@
         }
     }
 
+    /// Gives a process that has read the records the machine types, and announces it.
+    fn prepare_to_lead(&mut self, node_index: usize, store_reachable: bool) {
+        let node = &mut self.nodes[node_index];
+        if node.controller.catalog().is_none() {
+            node.controller.set_catalog(self.catalog.clone());
+        }
+        if store_reachable && node.controller.is_synced() && !node.controller.is_announced() {
+            node.announce(&mut self.store);
+        }
+    }
+
     /// Returns whether to campaign for the leadership now.
     fn should_campaign(&mut self, node_index: usize) -> bool {
         let (now, random) = (self.now, self.rng.random());
@@ -193,20 +207,41 @@
         if node.remaining_pause(now) > Micros::ZERO || !node.can_reach_store(&self.store, now) {
             return;
         }
+        let TransactionOutcome::Committed(revision) = outcome else {
+            return self.store.revoke_lease(pending.store_lease);
+        };
+        if self.are_reads_delayed() {
+            let process = self.process(node_index);
+            return self.when_freshly_read(process, move |simulation, is_read| {
+                simulation.conclude_election(node_index, epoch, pending, revision, is_read)
+            });
+        }
+        self.nodes[node_index].read_records(&self.store, now);
+        self.conclude_election(node_index, epoch, pending, revision, true);
+    }
+
+    /// Lets the winner of an election lead once it has read the records again.
+    fn conclude_election(
+        &mut self,
+        node_index: usize,
+        epoch: u64,
+        pending: PendingAttempt,
+        revision: u64,
+        is_read: bool,
+    ) {
         let PendingAttempt {
             campaign,
             store_lease,
             opened_at,
         } = pending;
-        let elected = match outcome {
-            TransactionOutcome::Committed(revision) => {
-                node.read_records(&self.store, now);
-                let controller = &mut node.controller;
-                controller.election_won(campaign, store_lease, revision, opened_at, now, now)
-            }
-            _ => false,
-        };
-        if !elected {
+        let now = self.now;
+        let node = &mut self.nodes[node_index];
+        let is_elected = is_read
+            && node.epoch() == epoch
+            && node
+                .controller
+                .election_won(campaign, store_lease, revision, opened_at, now, now);
+        if !is_elected {
             self.store.revoke_lease(store_lease);
         }
     }
--- a/crates/saltpitch-testkit/src/simulation/effects.rs
+++ b/crates/saltpitch-testkit/src/simulation/effects.rs
@@ -184,12 +184,26 @@
         if node.epoch() != epoch || !node.is_up(now) {
             return;
         }
+        if self.are_reads_delayed() {
+            let process = self.process(node_index);
+            return self.when_freshly_read(process, move |simulation, is_read| {
+                if simulation.nodes[node_index].epoch() == epoch {
+                    simulation.records_reloaded(node_index, is_read);
+                }
+            });
+        }
+        let node = &mut self.nodes[node_index];
         let reaches_store = node.can_reach_store(&self.store, now);
         if reaches_store {
             node.read_records(&self.store, now);
         }
-        let controller = &mut node.controller;
-        controller.records_reloaded(controller.epoch(), reaches_store, now, now);
+        self.records_reloaded(node_index, reaches_store);
+    }
+
+    fn records_reloaded(&mut self, node_index: usize, succeeded: bool) {
+        let now = self.now;
+        let controller = &mut self.nodes[node_index].controller;
+        controller.records_reloaded(controller.epoch(), succeeded, now, now);
         self.poll(node_index);
     }
 
--- a/crates/saltpitch-testkit/src/simulation/mod.rs
+++ b/crates/saltpitch-testkit/src/simulation/mod.rs
@@ -22,6 +22,10 @@
 
 pub use late_copies::CopyCounts;
 use late_copies::LateCopies;
+use questions::Questions;
+pub use record_reads::ProcessReads;
+pub use store_access::ReadCounts;
+use store_access::StoreAccess;
 
 mod agents;
 mod cloud;
@@ -30,6 +34,9 @@
 mod fault_injection;
 mod late_copies;
 mod observe;
+mod questions;
+mod record_reads;
+mod store_access;
 mod users;
 
 /// The intervals and timeouts that the settings give.
@@ -216,6 +223,8 @@
     next_tick: Micros,
     faults_end_at: Micros,
     late_copies: LateCopies,
+    store_access: StoreAccess,
+    questions: Questions,
 }
 
 /// The time between two ticks of controllers, agents and store.
@@ -330,6 +339,8 @@
             next_tick: Micros::ZERO,
             faults_end_at: faults_end_at.plus(Micros::from_secs(60)),
             late_copies: LateCopies::new(seed),
+            store_access: StoreAccess::new(seed, CONTROLLERS.len()),
+            questions: Questions::default(),
         }
     }
 
@@ -404,6 +415,7 @@
     fn tick(&mut self) {
         self.store.tick(self.now);
         self.inject_faults();
+        self.inject_refusals();
         for node_index in 0..self.nodes.len() {
             self.node_tick(node_index);
         }
--- a/crates/saltpitch-testkit/src/simulation/observe.rs
+++ b/crates/saltpitch-testkit/src/simulation/observe.rs
@@ -27,7 +27,8 @@
     pub(super) fn query_jobs(&mut self) {
         self.note_health();
         let now = self.now;
-        for node in &mut self.nodes {
+        let reads_at_once = !self.are_reads_delayed();
+        for node in self.nodes.iter_mut().filter(|_| reads_at_once) {
             let is_running = node.is_up(now) && node.remaining_pause(now) == Micros::ZERO;
             if node.is_started && node.can_reach_store(&self.store, now) && is_running {
                 node.read_records(&self.store, now);
--- a/crates/saltpitch-testkit/src/simulation/users.rs
+++ b/crates/saltpitch-testkit/src/simulation/users.rs
@@ -69,6 +69,7 @@
                 if let Some(job) = self.jobs.get_mut(id) {
                     job.is_accepted = true;
                 }
+                self.told_accepted(id);
                 self.note_cancelled_dependents();
                 true
             }
@@ -101,7 +102,7 @@
         let Some(entry) = self.store.keys.get(&key).cloned() else {
             return false;
         };
-        let Ok(record) = serde_json::from_str::<JobRecord>(&entry.value) else {
+        let Ok(record) = entry.job_record() else {
             return false;
         };
         if record.state != JobState::Active {
@@ -241,7 +242,7 @@
         self.store
             .keys
             .get(&job_key(id))
-            .and_then(|entry| serde_json::from_str::<JobRecord>(&entry.value).ok())
+            .and_then(|entry| entry.job_record().ok())
             .is_some_and(|record| record.state == JobState::Done)
     }
 
--- a/crates/saltpitch-testkit/src/store.rs
+++ b/crates/saltpitch-testkit/src/store.rs
@@ -1,8 +1,11 @@
 //! A simulated state service: keys with revisions, transactions, leases, and a log of changes.
 
+use std::cell::OnceCell;
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 use crate::trace::Trace;
+use saltpitch_core::records::{JobRecord, RecordChange};
 use saltpitch_core::scheduler::{Precondition, TransactionOutcome, Write};
 use saltpitch_core::Micros;
 use serde_json::value::RawValue;
@@ -16,6 +19,16 @@
     pub revision: u64,
     /// The lease that it is bound to, if any: the key is deleted when that lease ends.
     pub lease: Option<u64>,
+    job_record: OnceCell<Result<JobRecord, String>>,
+}
+
+impl Entry {
+    /// Returns the value as a job's record, or why it is none. It is decoded only once.
+    pub fn job_record(&self) -> Result<&JobRecord, &str> {
+        let decode = || serde_json::from_str(&self.value).map_err(|error| error.to_string());
+        let record = self.job_record.get_or_init(decode);
+        record.as_ref().map_err(String::as_str)
+    }
 }
 
 /// The keys with their revisions, and the leases that some of them are bound to.
@@ -54,6 +67,7 @@
                         value: v.clone(),
                         revision,
                         lease,
+                        job_record: OnceCell::new(),
                     },
                 );
             }
@@ -191,6 +205,19 @@
         }
     }
 
+    /// Returns the records that follow the key `after`, in the order of their keys.
+    pub fn entries_after(&self, after: &str) -> impl Iterator<Item = RecordChange> + '_ {
+        let following = (Bound::Excluded(after), Bound::Unbounded);
+        let entries = self.keys.range::<str, _>(following);
+        entries.filter_map(|(key, entry)| {
+            Some(RecordChange {
+                key: key.clone(),
+                value: Some(RawValue::from_string(entry.value.clone()).ok()?),
+                revision: entry.revision,
+            })
+        })
+    }
+
     /// Returns the value that a key had at this revision.
     pub fn value_at(&self, key: &str, revision: u64) -> Option<&str> {
         let entry = self.keys.get(key);
--- a/crates/saltpitch/src/cells/command.rs
+++ b/crates/saltpitch/src/cells/command.rs
@@ -11,7 +11,7 @@
 use saltpitch_cells::ids::{sent_id, MAX_DELEGATION_NUMBER};
 use saltpitch_core::job::JobState;
 use saltpitch_core::records::{
-    job_key, Delegation, DelegationState, JobRecord, RecordCache, RecordError,
+    job_key, Delegation, DelegationState, JobRecord, RecordCache, UnreadableRecord,
     DEFAULT_MAX_ENDED_JOBS,
 };
 use saltpitch_core::scheduler::{Precondition, Transaction, TransactionOutcome, Write};
@@ -171,8 +171,8 @@
     }
 }
 
-fn print_unreadable(key: &str, error: &RecordError) {
-    eprintln!("record {key} is unreadable: {error}");
+fn print_unreadable(record: &UnreadableRecord) {
+    eprintln!("record {} is unreadable: {}", record.key, record.error);
 }
 
 fn print_delegations(records: &RecordCache) {
--- a/crates/saltpitch/src/effects.rs
+++ b/crates/saltpitch/src/effects.rs
@@ -54,7 +54,7 @@
     let mut controller = node.controller();
     let effects = controller.poll(now);
     let epoch = controller.epoch();
-    let records_revision = controller.records().revision;
+    let records_revision = controller.records().revision();
     if !controller.may_answer(now) {
         log.commands.flush();
         return FOLLOWER_WAIT;
--- a/crates/saltpitch/src/record_sync.rs
+++ b/crates/saltpitch/src/record_sync.rs
@@ -5,13 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use saltpitch_core::records::{JobRead, RecordChange};
+use saltpitch_core::records::{JobRead, RecordChange, RecordChanges};
 use serde_json::value::RawValue;
 
 pub use self::follower::follow_changes;
 use crate::node::Node;
 use crate::store::ReadError;
-use crate::wire::store::Changes;
 
 /// How long a request waits for the latest records before it fails.
 const FRESH_READ_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -45,7 +44,11 @@
 
 /// Applies changes, and wakes the scheduler's task if a job has changed and this node leads. A new job may depend on
 /// ended jobs that are no longer in memory: their records are read first.
-async fn apply_changes(node: &Node, from_revision: u64, changes: Changes) -> Result<(), ReadError> {
+async fn apply_changes(
+    node: &Node,
+    from_revision: u64,
+    changes: RecordChanges,
+) -> Result<(), ReadError> {
     let mut reads: Vec<JobRead> = Vec::new();
     loop {
         let unknown = {
@@ -53,7 +56,7 @@
             let unknown = controller.unknown_dependencies(&changes.changes, &reads);
             if unknown.is_empty() {
                 let (now, wall) = (node.now(), node.clock.wall_time());
-                let Changes { changes, revision } = changes;
+                let RecordChanges { changes, revision } = changes;
                 controller.apply_job_reads(&reads);
                 let job_changed =
                     controller.apply_changes(from_revision, changes, revision, now, wall);
@@ -86,7 +89,7 @@
 async fn read_latest_changes(node: &Node) -> bool {
     let (is_synced, from_revision) = {
         let controller = node.controller();
-        (controller.is_synced(), controller.records().revision)
+        (controller.is_synced(), controller.records().revision())
     };
     if !is_synced {
         return false;
--- a/crates/saltpitch/src/record_sync/follower.rs
+++ b/crates/saltpitch/src/record_sync/follower.rs
@@ -1,10 +1,10 @@
 //! The task that lists the records, announces this process and follows the changes.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use saltpitch_core::records::{node_key, RecordError};
+use saltpitch_core::controller::{ListingEnd, OutdatedLayout};
+use saltpitch_core::records::{node_key, UnreadableRecord};
 use saltpitch_core::scheduler::{Precondition, Transaction, TransactionOutcome};
 
 use super::apply_changes;
@@ -88,7 +88,7 @@
     /// Runs one watch and applies its changes.
     async fn watch_once(&mut self, wait: Duration) {
         let node = self.node.clone();
-        let from_revision = node.controller().records().revision;
+        let from_revision = node.controller().records().revision();
         let applied = match node.store.watch(from_revision, wait).await {
             Ok(changes) => apply_changes(&node, from_revision, changes).await,
             Err(error) => Err(error),
@@ -143,11 +143,14 @@
         let pages_before = listing.page_count();
         let mut result = listing.read_to_end(&self.node.store).await;
         while result.is_ok() {
-            let (unfinished, unknown) = match self.try_replace_records(listing) {
-                Replacement::Done(is_replaced) => return is_replaced,
-                Replacement::Missing(listing, unknown) => (listing, unknown),
+            let unknown = match self.finish_listing(&mut listing) {
+                Ok(ListingEnd::Missing(unknown)) => unknown,
+                Ok(ListingEnd::Replaced) => return true,
+                Err(error) => {
+                    tracing::error!("{error}");
+                    return false;
+                }
             };
-            listing = unfinished;
             result = listing.read_jobs(&self.node.store, &unknown).await;
         }
         let Err(error) = result else { return false };
@@ -173,42 +176,37 @@
     }
 
     /// Replaces the records in memory by those of the listing, unless outcomes of ended jobs are missing.
-    fn try_replace_records(&mut self, listing: Box<Listing>) -> Replacement {
+    fn finish_listing(&mut self, listing: &mut Listing) -> Result<ListingEnd, OutdatedLayout> {
         let node = &self.node;
         let (now, wall) = (node.now(), node.clock.wall_time());
-        let mut controller = node.controller();
-        let unknown = controller.unknown_outcomes(listing.records(), listing.job_reads());
-        if !unknown.is_empty() {
-            return Replacement::Missing(listing, unknown);
-        }
-        tracing::info!(
-            "store: {} records listed, {} pages in {:.1} s; {} live jobs and {} ended ones are kept",
-            listing.record_count(),
-            listing.page_count(),
-            listing.elapsed().as_secs_f64(),
-            listing.records().jobs.len(),
-            listing.records().ended_jobs().len(),
-        );
-        if let Err(error) = controller.replace_records(listing.into_records(), now, wall) {
-            tracing::error!("{error}");
-            return Replacement::Done(false);
+        let end = node
+            .controller()
+            .finish_listing(listing.records(), now, wall)?;
+        if end == ListingEnd::Replaced {
+            log_replacement(node, listing);
+            node.scheduler_wakeup.notify_one();
+            self.listing_backoff.reset();
+            self.is_interruption_logged = false;
         }
-        node.scheduler_wakeup.notify_one();
-        self.listing_backoff.reset();
-        self.is_interruption_logged = false;
-        Replacement::Done(true)
+        Ok(end)
     }
 }
 
-/// The result of an attempt to replace the records in memory by those of a listing.
-enum Replacement {
-    /// The attempt has ended; whether the records are replaced.
-    Done(bool),
-    /// The records of these ended jobs have to be read first.
-    Missing(Box<Listing>, BTreeSet<String>),
+fn log_replacement(node: &Node, listing: &Listing) {
+    let controller = node.controller();
+    let records = controller.records();
+    tracing::info!(
+        "store: {} records listed, {} pages in {:.1} s; {} live jobs and {} ended ones are kept",
+        listing.record_count(),
+        listing.page_count(),
+        listing.elapsed().as_secs_f64(),
+        records.jobs.len(),
+        records.ended_jobs().len(),
+    );
 }
 
-fn log_unreadable(key: &str, error: &RecordError) {
+fn log_unreadable(record: &UnreadableRecord) {
+    let UnreadableRecord { key, error } = record;
     tracing::error!("record {key} is unreadable and was skipped: {error}");
 }
 
--- a/crates/saltpitch/src/store/listing.rs
+++ b/crates/saltpitch/src/store/listing.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use saltpitch_core::records::{job_id, job_key, JobRead, RecordCache, RecordChange, RecordError};
+use saltpitch_core::records::{RecordCache, RecordListing, UnreadableRecord};
 use saltpitch_core::Micros;
 
 use super::{ReadError, StoreClient};
@@ -27,27 +27,18 @@
     Outdated(ReadError),
 }
 
-/// The records that a listing has read so far. It keeps no more of the ended jobs than the copy of the records that it
-/// will replace.
+/// A listing under way, and the requests that it still needs.
 pub struct Listing {
     clock: Clock,
     started_at: Micros,
-    /// The copy of the records. It is complete up to `records.revision` once all pages are read.
-    records: RecordCache,
-    /// The last key that was read; empty before the first page.
-    last_key: String,
-    has_all_pages: bool,
-    page_count: u32,
-    record_count: usize,
+    records: RecordListing,
     caught_up_at: Micros,
     unanswered_catch_ups: u32,
-    /// The records of ended jobs that were read by their keys because they are needed and not kept.
-    job_reads: Vec<JobRead>,
     report_unreadable: ReportUnreadable,
 }
 
-/// Reports the key of a record that is skipped because it cannot be read, and the reason.
-pub type ReportUnreadable = fn(&str, &RecordError);
+/// Reports a record that is skipped because it cannot be read.
+pub type ReportUnreadable = fn(&UnreadableRecord);
 
 impl Listing {
     /// Creates a listing that has read nothing yet and keeps up to `max_ended_jobs` recently ended jobs.
@@ -60,26 +51,21 @@
         Listing {
             clock,
             started_at: now,
-            records: RecordCache::new(max_ended_jobs),
-            last_key: String::new(),
-            has_all_pages: false,
-            page_count: 0,
-            record_count: 0,
+            records: RecordListing::new(max_ended_jobs),
             caught_up_at: now,
             unanswered_catch_ups: 0,
-            job_reads: Vec::new(),
             report_unreadable,
         }
     }
 
     /// Returns the number of pages read so far.
     pub fn page_count(&self) -> u32 {
-        self.page_count
+        self.records.page_count()
     }
 
     /// Returns the number of records read so far.
     pub fn record_count(&self) -> usize {
-        self.record_count
+        self.records.record_count()
     }
 
     /// Returns the time since the listing began.
@@ -87,24 +73,14 @@
         Duration::from_micros(self.clock.now().since(self.started_at).0)
     }
 
-    /// Returns the records read so far.
-    pub fn records(&self) -> &RecordCache {
-        &self.records
-    }
-
-    /// Returns the records of ended jobs that were read by their keys.
-    pub fn job_reads(&self) -> &[JobRead] {
-        &self.job_reads
+    /// Returns what was read so far.
+    pub fn records(&mut self) -> &mut RecordListing {
+        &mut self.records
     }
 
     /// Returns the records. They are complete once [`Listing::read_to_end`] has succeeded.
-    pub fn into_records(mut self) -> RecordCache {
-        for read in &self.job_reads {
-            if let Err(error) = self.records.put_job_read(read) {
-                (self.report_unreadable)(&job_key(&read.id), &error);
-            }
-        }
-        self.records
+    pub fn into_records(self) -> RecordCache {
+        self.records.into_records()
     }
 
     /// Reads the records of ended jobs by their keys.
@@ -115,8 +91,9 @@
     ) -> Result<(), ListingError> {
         for id in ids {
             let read = store.read_job(id).await;
-            self.job_reads
-                .push(read.map_err(ListingError::Interrupted)?);
+            let read = read.map_err(ListingError::Interrupted)?;
+            let unreadable = self.records.job_read(read);
+            self.report(unreadable);
         }
         Ok(())
     }
@@ -124,8 +101,11 @@
     /// Reads the pages that are left and then the changes that were made meanwhile. After an error, the next call
     /// continues with the request that failed.
     pub async fn read_to_end(&mut self, store: &StoreClient) -> Result<(), ListingError> {
-        while !self.has_all_pages {
-            self.read_page(store).await?;
+        while let Some(last_key) = self.records.next_page() {
+            let page = store.list_page(last_key).await;
+            let page = page.map_err(ListingError::Interrupted)?;
+            let unreadable = self.records.page_read(&page);
+            self.report(unreadable);
             if self.clock.now().since(self.caught_up_at) >= CATCH_UP_INTERVAL {
                 self.catch_up(store).await?;
             }
@@ -133,39 +113,15 @@
         self.catch_up(store).await
     }
 
-    async fn read_page(&mut self, store: &StoreClient) -> Result<(), ListingError> {
-        let page = store
-            .list_page(&self.last_key)
-            .await
-            .map_err(ListingError::Interrupted)?;
-        if self.page_count == 0 {
-            // Later pages may be newer. The changes are read from the first page's revision on.
-            self.records.revision = page.revision;
-        }
-        self.page_count += 1;
-        self.record_count += page.records.len();
-        self.has_all_pages = !page.has_next || page.records.is_empty();
-        if let Some(last) = page.records.last() {
-            self.last_key.clone_from(&last.key);
-        }
-        for record in &page.records {
-            self.apply(record);
-        }
-        self.records.trim_listing();
-        Ok(())
-    }
-
     /// Reads and applies the changes since the revision up to which all changes are known.
     async fn catch_up(&mut self, store: &StoreClient) -> Result<(), ListingError> {
-        let changes = match store.watch(self.records.revision, Duration::ZERO).await {
+        let from_revision = self.records.known_revision();
+        let changes = match store.watch(from_revision, Duration::ZERO).await {
             Ok(changes) => changes,
             Err(error) => return Err(self.catch_up_error(error)),
         };
-        for change in &changes.changes {
-            self.apply(change);
-        }
-        self.records.revision = self.records.revision.max(changes.revision);
-        self.records.trim_listing();
+        let unreadable = self.records.changes_read(&changes);
+        self.report(unreadable);
         self.caught_up_at = self.clock.now();
         self.unanswered_catch_ups = 0;
         Ok(())
@@ -185,16 +141,9 @@
         ListingError::Interrupted(error)
     }
 
-    fn apply(&mut self, change: &RecordChange) {
-        let Some(value) = &change.value else {
-            self.records.delete(&change.key, change.revision);
-            return;
-        };
-        if let Err(error) = self.records.put(&change.key, value, change.revision) {
-            if job_id(&change.key).is_some() {
-                self.records.unreadable_job_found();
-            }
-            (self.report_unreadable)(&change.key, &error);
+    fn report(&self, unreadable: impl IntoIterator<Item = UnreadableRecord>) {
+        for record in unreadable {
+            (self.report_unreadable)(&record);
         }
     }
 }
--- a/crates/saltpitch/src/store/listing/tests.rs
+++ b/crates/saltpitch/src/store/listing/tests.rs
@@ -7,8 +7,8 @@
 use crate::http::CallError;
 
 fn listing() -> Listing {
-    Listing::new(Clock::start(), DEFAULT_MAX_ENDED_JOBS, |key, error| {
-        panic!("{key}: {error}")
+    Listing::new(Clock::start(), DEFAULT_MAX_ENDED_JOBS, |record| {
+        panic!("{record:?}")
     })
 }
 
--- a/crates/saltpitch/src/store/reads.rs
+++ b/crates/saltpitch/src/store/reads.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use hyper::Method;
-use saltpitch_core::records::{job_id, job_key, JobRead, PREFIX};
+use saltpitch_core::records::{job_id, job_key, JobRead, RecordChanges, RecordPage, PREFIX};
 use saltpitch_core::scheduler::{Precondition, Transaction, TransactionOutcome};
 
 use super::StoreClient;
 use crate::http::{CallError, Reply};
-use crate::wire::store::{self as wire, Changes, Page};
+use crate::wire::store as wire;
 use crate::wire::DecodeError;
 
 /// The number of records requested per page of a listing.
@@ -48,7 +48,7 @@
     /// Reads the page of records that follow the key `after`, or the first page if `after` is empty. All records
     /// together may exceed the memory of this process. A page waits for the request budget, part of which it
     /// leaves to other requests.
-    pub async fn list_page(&self, after: &str) -> Result<Page, ReadError> {
+    pub async fn list_page(&self, after: &str) -> Result<RecordPage, ReadError> {
         self.background_request().await;
         let path = if after.is_empty() {
             format!("/store?starts={PREFIX}&page={PAGE_SIZE}")
@@ -117,7 +117,7 @@
     /// Reads the changes after a revision, and waits up to `wait` for the first one. The caller must
     /// pace watches that wait, since they are sent even if the request budget is exhausted. A watch with a `wait`
     /// of zero is sent once the budget allows it.
-    pub async fn watch(&self, from: u64, wait: Duration) -> Result<Changes, ReadError> {
+    pub async fn watch(&self, from: u64, wait: Duration) -> Result<RecordChanges, ReadError> {
         if !wait.is_zero() {
             self.spend_request();
         } else if !self.wait_for_request().await {
@@ -137,7 +137,7 @@
     }
 }
 
-fn decode_changes(reply: &Reply) -> Result<Changes, ReadError> {
+fn decode_changes(reply: &Reply) -> Result<RecordChanges, ReadError> {
     wire::decode_changes(&reply.body).map_err(|error| {
         tracing::error!("store: unreadable changes, treating the watch as failed: {error}");
         ReadError::Unreadable(error)
--- a/crates/saltpitch/src/wire/store.rs
+++ b/crates/saltpitch/src/wire/store.rs
@@ -1,6 +1,6 @@
 //! Messages to and from the state service.
 
-use saltpitch_core::records::RecordChange;
+use saltpitch_core::records::{RecordChange, RecordChanges, RecordPage};
 use saltpitch_core::scheduler::{Precondition, Transaction, Write};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -51,24 +51,6 @@
     mooring: u64,
 }
 
-/// One page of a listing.
-pub struct Page {
-    /// The records, in the order of their keys.
-    pub records: Vec<RecordChange>,
-    /// Whether there is another page.
-    pub has_next: bool,
-    /// The revision at which the page was read.
-    pub revision: u64,
-}
-
-/// The changes of records after a revision.
-pub struct Changes {
-    /// The changes, in the order in which they were made.
-    pub changes: Vec<RecordChange>,
-    /// The revision up to which the changes are complete.
-    pub revision: u64,
-}
-
 /// The answer to a transaction.
 pub struct TransactionReply {
     /// The transaction's revision, if it was committed.
@@ -87,14 +69,14 @@
 }
 
 /// Decodes one page of a listing.
-pub fn decode_page(body: &[u8]) -> Result<Page, DecodeError> {
+pub fn decode_page(body: &[u8]) -> Result<RecordPage, DecodeError> {
     let raw: RawPage = serde_json::from_slice(body)?;
     let record = |row: RawRow| RecordChange {
         key: row.path,
         value: Some(row.v),
         revision: row.entry_no,
     };
-    Ok(Page {
+    Ok(RecordPage {
         records: raw.rows.into_iter().map(record).collect(),
         has_next: raw.has_next,
         revision: raw.ledger_no,
@@ -108,11 +90,11 @@
 }
 
 /// Decodes the answer to a watch. If one of the changes is malformed, the whole answer is refused.
-pub fn decode_changes(body: &[u8]) -> Result<Changes, DecodeError> {
+pub fn decode_changes(body: &[u8]) -> Result<RecordChanges, DecodeError> {
     let raw: RawChanges = serde_json::from_slice(body)?;
     let changes: Result<Vec<RecordChange>, DecodeError> =
         raw.news.into_iter().map(decode_change).collect();
-    Ok(Changes {
+    Ok(RecordChanges {
         changes: changes?,
         revision: raw.ledger_no,
     })
