Do not bring an evicted job back by a late own write or a late read

What a controller would have done: a job that had ended, and whose outcome had left memory, came back as live for good, so that questions about it were answered from a record that nothing changes any more. Cause: the copy puts any record of a job that it doesn't know. The answer to this process's own cancellation, or to a read by key, may arrive after the changes that ended the job, and after its outcome was evicted. In production that takes 8,192 further ends while one answer is on its way; nobody has reported it. All live jobs are in the copy, so a live record that the copy's changes include is now known to be older than the job's end and is ignored (RecordCache::has_ended_since); a read by key that came too early is repeated.

--- a/crates/saltpitch-core/src/controller/record_sync.rs
+++ b/crates/saltpitch-core/src/controller/record_sync.rs
@@ -75,7 +75,9 @@
         let is_known = |id: &str| {
             self.records.job(id).is_some()
                 || changed_jobs.contains(id)
-                || reads.iter().any(|read| read.id == id)
+                || reads
+                    .iter()
+                    .any(|read| read.id == id && self.records.is_read_current(read))
         };
         new_job_changes
             .filter(|change| job_id(&change.key).is_some())
--- a/crates/saltpitch-core/src/records/record_cache/jobs.rs
+++ b/crates/saltpitch-core/src/records/record_cache/jobs.rs
@@ -21,6 +21,9 @@
             return Ok(Change::None);
         }
         let record: JobRecord = parse(raw)?;
+        if known.is_none() && self.has_ended_since(&record, revision) {
+            return Ok(Change::None);
+        }
         let old_state = known.map(|known| known.state());
         let state = record.state;
         if state == JobState::Cancelled && old_state != Some(JobState::Cancelled) {
@@ -42,6 +45,12 @@
         Ok(Change::Job(id.to_owned()))
     }
 
+    /// Returns whether a record of a job that is not in memory is older than the job's end. All live jobs are in memory,
+    /// so a live record that the copy's changes include has been replaced by a final one, which was evicted.
+    fn has_ended_since(&self, record: &JobRecord, revision: u64) -> bool {
+        self.has_all_live_jobs && revision <= self.revision && !record.is_final()
+    }
+
     /// Stores a job's record, or only the outcome if it is the job's final record.
     fn store_job(&mut self, id: &str, record: JobRecord, revision: u64) {
         if !record.is_final() {
@@ -84,6 +93,16 @@
         Ok(())
     }
 
+    /// Returns whether a record that was read by its key is as new as this copy. It is not if the job has ended since:
+    /// the record must then be read again. One that cannot be read is taken as it is.
+    pub fn is_read_current(&self, read: &JobRead) -> bool {
+        let Some((record, revision)) = &read.record else {
+            return true;
+        };
+        self.job(&read.id).is_some()
+            || parse(record).map_or(true, |record| !self.has_ended_since(&record, *revision))
+    }
+
     /// Returns what is known of a job.
     pub fn job(&self, id: &str) -> Option<RecordedJob<'_>> {
         let live = self.jobs.get(id).map(RecordedJob::Live);
--- a/crates/saltpitch-core/tests/retention.rs
+++ b/crates/saltpitch-core/tests/retention.rs
@@ -60,6 +60,16 @@
     serde_json::to_string(&record).expect("the record is serialisable")
 }
 
+/// Returns the record of a cancelled job whose tasks may still run.
+fn live_cancelled_job() -> String {
+    let record = JobRecord {
+        state: JobState::Cancelled,
+        ..JobRecord::accepted(START, harness::spec(JobKind::Array, 1, 1).into())
+    };
+    assert!(!record.is_final());
+    serde_json::to_string(&record).expect("the record is serialisable")
+}
+
 fn final_record(state: JobState) -> String {
     let record = JobRecord::final_record(state, None);
     serde_json::to_string(&record).expect("the record is serialisable")
@@ -225,6 +235,55 @@
     assert!(controller.records().jobs.is_empty());
 }
 
+/// Guards against an evicted job that comes back as live for good because the answer to this process's own write of its
+/// cancellation arrives after the changes that ended it.
+#[test]
+fn a_late_own_write_does_not_bring_an_evicted_job_back() {
+    let mut controller = controller();
+    let key = job_key(&job_id(1));
+    apply(&mut controller, &key, &active_job(&[]), 2);
+    apply(&mut controller, &key, &final_record(JobState::Cancelled), 4);
+    end_jobs(&mut controller, 100..200);
+    let own_write = RecordChange {
+        key,
+        value: Some(raw(&live_cancelled_job())),
+        revision: 3,
+    };
+    controller.apply_own_write(&own_write, START, START);
+    assert!(controller.records().job(&job_id(1)).is_none());
+}
+
+/// Guards against an evicted job that comes back as live for good because its record was read by its key before it
+/// ended. The record is asked for again, so that the job that depends on it does not wait forever.
+#[test]
+fn a_late_read_by_key_does_not_bring_an_evicted_job_back() {
+    let mut controller = controller();
+    let dependency = job_id(1);
+    let revision = end_jobs(&mut controller, 100..200);
+    let read_too_early = JobRead {
+        id: dependency.clone(),
+        record: Some((raw(&active_job(&[])), revision + 1)),
+    };
+    let key = job_key(&dependency);
+    apply(&mut controller, &key, &active_job(&[]), revision + 1);
+    apply(
+        &mut controller,
+        &key,
+        &final_record(JobState::Done),
+        revision + 2,
+    );
+    let revision = end_jobs(&mut controller, 200..300);
+    let changes = [RecordChange {
+        key: job_key("job-900000"),
+        value: Some(raw(&active_job(&[&dependency]))),
+        revision: revision + 1,
+    }];
+    let unknown = controller.unknown_dependencies(&changes, std::slice::from_ref(&read_too_early));
+    assert_eq!(Vec::from_iter(unknown), std::slice::from_ref(&dependency));
+    controller.apply_job_reads(&[read_too_early]);
+    assert!(controller.records().job(&dependency).is_none());
+}
+
 /// Guards against the eviction of an end that this process wrote before its watch reported it: the older changes of the
 /// job are still to come.
 #[test]
