Don't count a machine as returned that a listing has on record

What a controller would have done: reports of a machine whose block was deleted and written again between the copy and the listing were ignored as those of a returned machine. A watch takes a recorded machine from the list of returned ones; a listing kept the old list as it was. Nobody has seen it on a site: a block is written anew before the old one is deleted.

--- a/crates/saltpitch-core/src/records/record_cache/carry_over.rs
+++ b/crates/saltpitch-core/src/records/record_cache/carry_over.rs
@@ -29,7 +29,7 @@
 
     /// Carries over the state that is not recorded: returned machines, cached images, the list of cancellations and the
     /// highest number that a segment ever had.
-    /// A machine that is in the old copy but not in this one was returned in between.
+    /// A machine that is in the old copy but not in this one was returned in between, one that is recorded again was not.
     pub fn carry_over_from(&mut self, mut old: RecordCache) {
         let recorded: HashSet<String> = self.machine_names().map(str::to_owned).collect();
         let old_machines = old.machine_names();
@@ -41,6 +41,9 @@
         self.append_to_cancellations(old_cancellations, &old);
         self.last_segment = self.last_segment.max(old.last_segment);
         self.returned_machines = old.returned_machines;
+        for name in &recorded {
+            self.returned_machines.remove(name);
+        }
         self.images = old.images;
         self.images.retain_machines(|name| recorded.contains(name));
         for name in &returned {
--- a/crates/saltpitch-core/tests/record_copies/main.rs
+++ b/crates/saltpitch-core/tests/record_copies/main.rs
@@ -187,6 +187,27 @@
     assert!(records.machine_blocks.contains_key(&1));
 }
 
+/// Guards against a machine that counts as returned although a listing has a record of it: its block was deleted in the
+/// copy and written again before the listing, as when a machine is moved to another block.
+#[test]
+fn a_machine_that_is_recorded_again_does_not_count_as_returned() {
+    let mut controller = controller(DEFAULT_MAX_ENDED_JOBS);
+    let block = r#"{"t":"plain","z":"east","s":true,"m":[["vm-000001","10.1.0.1:9000",false,5]]}"#;
+    let deleted = RecordChange {
+        key: "salt/b/1".to_owned(),
+        value: None,
+        revision: 3,
+    };
+    follow(&mut controller, &[write("salt/b/1", block, 2), deleted]);
+    let is_returned = |controller: &Controller| {
+        let returned = &controller.records().returned_machines;
+        returned.contains("vm-000001")
+    };
+    assert!(is_returned(&controller));
+    finish(&mut controller, listing(&[write("salt/b/2", block, 4)], 5));
+    assert!(!is_returned(&controller));
+}
+
 /// Guards against the term, the leader and a controller's incarnation of a listing that is older than the copy.
 #[test]
 fn an_older_listing_brings_back_no_earlier_term_or_incarnation() {
@@ -443,6 +464,11 @@
         for (id, entry) in &records.jobs {
             self.live.insert(id.clone(), entry.revision);
         }
+        let blocks = records.machine_blocks.values();
+        for machine in blocks.flat_map(|block| &block.value.machines) {
+            let is_returned = records.returned_machines.contains(&machine.0);
+            assert!(!is_returned, "seed {seed}: {}", machine.0);
+        }
     }
 
     /// Delivers what is on its way and the changes since then, and compares the copy with one that followed them all.
