Own writes ahead of the watch are records of jobs, by type

Controller::apply_own_write took any change, also a deletion or a record of machines. That a listing carries over all that is newer than itself rests on own writes being records of jobs, which are never deleted: JobWrite says so. The simulation's state service keeps only 40 revisions in every second history, so that watches and listings there get 410 as well.

--- a/crates/saltpitch-core/src/controller/record_sync.rs
+++ b/crates/saltpitch-core/src/controller/record_sync.rs
@@ -5,7 +5,7 @@
 use crate::job::JobState;
 use crate::leadership::{ProcessIdentity, LEADERSHIP_LEASE};
 use crate::records::{
-    job_id, job_key, node_key, Change, JobRead, JobRecord, NodeRecord, RecordChange,
+    job_id, job_key, node_key, Change, JobRead, JobRecord, JobWrite, NodeRecord, RecordChange,
 };
 use crate::scheduler::{Precondition, Write};
 use crate::time::Micros;
@@ -117,8 +117,13 @@
 
     /// Applies a write of this process that the state service confirmed, without waiting until the state
     /// service reports the change.
-    pub fn apply_own_write(&mut self, change: &RecordChange, now: Micros, wall: Micros) {
-        self.apply_change(change, now, wall);
+    pub fn apply_own_write(&mut self, write: JobWrite, now: Micros, wall: Micros) {
+        let change = RecordChange {
+            key: job_key(&write.id),
+            value: Some(write.record),
+            revision: write.revision,
+        };
+        self.apply_change(&change, now, wall);
     }
 
     /// Applies one change. Returns true if a job has changed.
--- a/crates/saltpitch-core/src/records/mod.rs
+++ b/crates/saltpitch-core/src/records/mod.rs
@@ -46,6 +46,18 @@
     pub revision: u64,
 }
 
+/// A record of a job that this process wrote and the state service confirmed. Only records of jobs, which are never
+/// deleted, are applied ahead of the changes that report them.
+#[derive(Clone, Debug)]
+pub struct JobWrite {
+    /// The job's id.
+    pub id: String,
+    /// The record.
+    pub record: Box<RawValue>,
+    /// The revision of the transaction.
+    pub revision: u64,
+}
+
 /// The record of a job as it was read by its key.
 #[derive(Clone, Debug)]
 pub struct JobRead {
--- a/crates/saltpitch-core/tests/controller.rs
+++ b/crates/saltpitch-core/tests/controller.rs
@@ -12,7 +12,7 @@
 };
 use saltpitch_core::leadership::{answer_bound, TOKENS_PER_TERM};
 use saltpitch_core::messages::{PeerStatus, PROTOCOL_VERSION};
-use saltpitch_core::records::{JobRead, RecordChange, DEFAULT_MAX_ENDED_JOBS, TERM_KEY};
+use saltpitch_core::records::{JobRead, JobWrite, RecordChange, DEFAULT_MAX_ENDED_JOBS, TERM_KEY};
 
 /// The number of the first term on record.
 const FIRST_TERM: u64 = TOKENS_PER_TERM;
@@ -206,16 +206,14 @@
     harness::spec(JobKind::Array, 1, 1)
 }
 
-fn cancelled_job(revision: u64) -> RecordChange {
+fn cancelled_job(revision: u64) -> JobWrite {
     let record = JobRecord {
         state: JobState::Cancelled,
         ..JobRecord::accepted(START, Arc::new(one_task_spec()))
     };
-    RecordChange {
-        key: job_key("job-000001"),
-        value: Some(raw(
-            &serde_json::to_string(&record).expect("the record is serialisable")
-        )),
+    JobWrite {
+        id: "job-000001".to_owned(),
+        record: raw(&serde_json::to_string(&record).expect("the record is serialisable")),
         revision,
     }
 }
@@ -241,7 +239,7 @@
     assert!(answer.store_reachable);
     let answer = controller.peer_heartbeat_received(peer_heartbeat(0), store(now), now);
     assert!(!answer.store_reachable);
-    controller.apply_own_write(&cancelled_job(2), now, now);
+    controller.apply_own_write(cancelled_job(2), now, now);
     let answer = controller.peer_heartbeat_received(peer_heartbeat(0), store(now), now);
     assert!(answer.store_reachable);
     // A peer of the present version is told that the state service is unreachable, and receives the cancellation
--- a/crates/saltpitch-core/tests/record_copies/main.rs
+++ b/crates/saltpitch-core/tests/record_copies/main.rs
@@ -13,8 +13,8 @@
 use saltpitch_core::controller::{Controller, ControllerConfig, ListingEnd, MissingChanges};
 use saltpitch_core::messages::AckRequest;
 use saltpitch_core::records::{
-    AckCursor, NodeRecord, RecordChange, RecordChanges, RecordListing, RecordPage, TermRecord,
-    DEFAULT_MAX_ENDED_JOBS,
+    AckCursor, JobWrite, NodeRecord, RecordChange, RecordChanges, RecordListing, RecordPage,
+    TermRecord, DEFAULT_MAX_ENDED_JOBS,
 };
 
 /// The time at which each test begins.
@@ -145,8 +145,12 @@
         write(&job_key("job-000002"), &active, 3),
     ];
     follow(&mut controller, &jobs);
-    let own_write = write(&job_key("job-000001"), &live_job(JobState::Cancelled), 9);
-    controller.apply_own_write(&own_write, START, START);
+    let own_write = JobWrite {
+        id: "job-000001".to_owned(),
+        record: raw(&live_job(JobState::Cancelled)),
+        revision: 9,
+    };
+    controller.apply_own_write(own_write, START, START);
     let mut listed = jobs.to_vec();
     listed.push(write(&job_key("job-000003"), &active, 6));
     let end = finish(&mut controller, listing(&listed, 7));
@@ -339,7 +343,7 @@
     /// The changes after the revision `from`.
     Changes { from: u64, changes: RecordChanges },
     /// The confirmation of this controller's own write.
-    OwnWrite(RecordChange),
+    OwnWrite(JobWrite),
     /// The next page of the listing.
     Page(RecordPage),
     /// The changes since the listing's pages.
@@ -398,19 +402,23 @@
         let jobs = self.controller.records().jobs.iter();
         let mut active: Vec<(String, u64)> = jobs
             .filter(|(_, entry)| entry.record.state == JobState::Active)
-            .map(|(id, entry)| (job_key(id), entry.revision))
+            .map(|(id, entry)| (id.clone(), entry.revision))
             .collect();
         active.sort();
-        let Some((key, revision)) = active.first() else {
+        let Some((id, revision)) = active.first() else {
             return;
         };
-        if self.history.keys[key].0 != *revision {
+        let key = job_key(id);
+        if self.history.keys[&key].0 != *revision {
             return;
         }
         let value = live_job(JobState::Cancelled);
-        self.history.write(key, Some(value.clone()));
-        let own_write = write(key, &value, self.history.revision());
-        self.answers.push(Answer::OwnWrite(own_write));
+        self.history.write(&key, Some(value.clone()));
+        self.answers.push(Answer::OwnWrite(JobWrite {
+            id: id.clone(),
+            record: raw(&value),
+            revision: self.history.revision(),
+        }));
     }
 
     /// Sends the next request of the listing, unless one is under way.
@@ -434,7 +442,7 @@
     fn answer_arrives(&mut self, answer: Answer) {
         match answer {
             Answer::Changes { from, changes } => apply(&mut self.controller, from, changes),
-            Answer::OwnWrite(change) => self.controller.apply_own_write(&change, START, START),
+            Answer::OwnWrite(write) => self.controller.apply_own_write(write, START, START),
             Answer::Page(page) => {
                 let listing = self.listing.as_mut().expect("a listing is under way");
                 assert!(listing.page_read(&page).is_empty());
--- a/crates/saltpitch-core/tests/retention.rs
+++ b/crates/saltpitch-core/tests/retention.rs
@@ -5,7 +5,7 @@
 use harness::{job_key, JobKind, JobRecord, JobState, Micros, RawValue, RecordCache};
 use saltpitch_core::controller::{Controller, ControllerConfig};
 use saltpitch_core::messages::AckRequest;
-use saltpitch_core::records::{AckCursor, JobRead, RecordChange, RecordedJob};
+use saltpitch_core::records::{AckCursor, JobRead, JobWrite, RecordChange, RecordedJob};
 
 const START: Micros = Micros::from_secs(100);
 /// How many recently ended jobs the controllers of these tests keep.
@@ -252,12 +252,12 @@
     apply(&mut controller, &key, &active_job(&[]), 2);
     apply(&mut controller, &key, &final_record(JobState::Cancelled), 4);
     end_jobs(&mut controller, 100..200);
-    let own_write = RecordChange {
-        key,
-        value: Some(raw(&live_cancelled_job())),
+    let own_write = JobWrite {
+        id: job_id(1),
+        record: raw(&live_cancelled_job()),
         revision: 3,
     };
-    controller.apply_own_write(&own_write, START, START);
+    controller.apply_own_write(own_write, START, START);
     assert!(controller.records().job(&job_id(1)).is_none());
 }
 
@@ -299,12 +299,12 @@
     let mut controller = controller();
     let revision = controller.records().revision();
     for number in 0..10 {
-        let change = RecordChange {
-            key: job_key(&job_id(number)),
-            value: Some(raw(&final_record(JobState::Cancelled))),
+        let own_write = JobWrite {
+            id: job_id(number),
+            record: raw(&final_record(JobState::Cancelled)),
             revision: revision + 100 + number,
         };
-        controller.apply_own_write(&change, START, START);
+        controller.apply_own_write(own_write, START, START);
     }
     apply(
         &mut controller,
--- a/crates/saltpitch-testkit/src/cells/controller.rs
+++ b/crates/saltpitch-testkit/src/cells/controller.rs
@@ -4,10 +4,10 @@
 use rand::Rng;
 use saltpitch_cells::origin::{CellEffect, Delegator, RecordWrite};
 use saltpitch_core::job::JobState;
-use saltpitch_core::records::{job_key, RecordChange};
+use saltpitch_core::records::{job_key, JobWrite};
 use saltpitch_core::scheduler::{TransactionOutcome, Write};
 use saltpitch_core::Micros;
-use serde_json::value::RawValue;
+use serde_json::value::to_raw_value;
 
 use super::{Cell, Cells, HISTORY_START, NAMES};
 
@@ -150,13 +150,15 @@
             return;
         }
         if let TransactionOutcome::Committed(revision) = outcome {
-            let text = serde_json::to_string(&write.record).unwrap_or_default();
-            let change = RecordChange {
-                key: job_key(&write.job),
-                value: RawValue::from_string(text).ok(),
-                revision,
-            };
-            node.apply_own_write(&change, now);
+            if let Ok(record) = to_raw_value(&write.record) {
+                let id = write.job.clone();
+                let own_write = JobWrite {
+                    id,
+                    record,
+                    revision,
+                };
+                node.apply_own_write(own_write, now);
+            }
         }
         let Some(scheduler) = node.scheduler_in(requester.epoch, now) else {
             return;
--- a/crates/saltpitch-testkit/src/nodes.rs
+++ b/crates/saltpitch-testkit/src/nodes.rs
@@ -9,7 +9,9 @@
 };
 use saltpitch_core::job::JobState;
 use saltpitch_core::messages::PeerStatus;
-use saltpitch_core::records::{job_key, node_key, JobRead, JobRecord, RecordCache, RecordChange};
+use saltpitch_core::records::{
+    job_key, node_key, JobRead, JobRecord, JobWrite, RecordCache, RecordChange,
+};
 use saltpitch_core::scheduler::{
     AgentCommands, Effect, Precondition, Scheduler, SchedulerConfig, TransactionOutcome,
 };
@@ -394,9 +396,9 @@
     }
 
     /// Applies a write of this process that the state service has confirmed.
-    pub fn apply_own_write(&mut self, change: &RecordChange, now: Micros) {
+    pub fn apply_own_write(&mut self, write: JobWrite, now: Micros) {
         self.store_success_at = Some(now);
-        self.controller.apply_own_write(change, now, now);
+        self.controller.apply_own_write(write, now, now);
     }
 }
 
--- a/crates/saltpitch-testkit/src/simulation/questions.rs
+++ b/crates/saltpitch-testkit/src/simulation/questions.rs
@@ -5,7 +5,7 @@
 use std::ops::Range;
 
 use saltpitch_core::job::JobState;
-use saltpitch_core::records::{job_key, CancelStep, JobRecord, RecordChange};
+use saltpitch_core::records::{job_key, CancelStep, JobRecord, JobWrite};
 use saltpitch_core::scheduler::{Precondition, Transaction, TransactionOutcome, Write};
 use saltpitch_core::Micros;
 use serde_json::value::RawValue;
@@ -261,12 +261,15 @@
     }
 
     fn cancellation_confirmed(&mut self, process: Process, id: &str, value: String, revision: u64) {
-        let change = RecordChange {
-            key: job_key(id),
-            value: RawValue::from_string(value).ok(),
+        let Ok(record) = RawValue::from_string(value) else {
+            return;
+        };
+        let write = JobWrite {
+            id: id.to_owned(),
+            record,
             revision,
         };
-        self.nodes[process.node_index].apply_own_write(&change, self.now);
+        self.nodes[process.node_index].apply_own_write(write, self.now);
         self.told(id, JobState::Cancelled);
     }
 }
--- a/crates/saltpitch-testkit/src/simulation/record_reads.rs
+++ b/crates/saltpitch-testkit/src/simulation/record_reads.rs
@@ -50,10 +50,11 @@
             return self.continue_listing(process);
         }
         let from = node.records().revision();
+        let history = self.store_access.history_revisions;
         self.request(
             process,
             Reader::Follower,
-            move |store| read_changes(store, from),
+            move |store| read_changes(store, from, history),
             move |simulation, answer| simulation.watch_answered(process, from, answer),
         );
     }
@@ -129,10 +130,11 @@
             );
         }
         let from = listing.known_revision();
+        let history = self.store_access.history_revisions;
         self.request(
             process,
             Reader::Follower,
-            move |store| read_changes(store, from),
+            move |store| read_changes(store, from, history),
             move |simulation, answer| match answer {
                 Some(ChangesAnswer::Changes(changes)) => {
                     listing.changes_read(&changes);
@@ -263,10 +265,11 @@
             return self.finish_fresh_read(process, false);
         }
         let from = node.records().revision();
+        let history = self.store_access.history_revisions;
         self.request(
             process,
             Reader::Request,
-            move |store| read_changes(store, from),
+            move |store| read_changes(store, from, history),
             move |simulation, answer| {
                 let Some(ChangesAnswer::Changes(changes)) = answer else {
                     return simulation.finish_fresh_read(process, false);
--- a/crates/saltpitch-testkit/src/simulation/store_access.rs
+++ b/crates/saltpitch-testkit/src/simulation/store_access.rs
@@ -28,8 +28,9 @@
 const SLOW_AFTER_REFUSAL: Micros = Micros::from_secs(3);
 /// The number of records in a page of a listing.
 const PAGE_SIZE: usize = 40;
-/// The number of revisions whose changes the state service keeps.
-const HISTORY_REVISIONS: u64 = 300;
+/// The number of revisions whose changes the state service keeps: more than a refused controller misses in most cases,
+/// and fewer. The seed decides.
+const HISTORY_REVISIONS: [u64; 2] = [300, 40];
 /// How often a controller is refused, and all of them, per second.
 const REFUSALS_PER_S: f64 = 0.6;
 const COMMON_REFUSALS_PER_S: f64 = 0.02;
@@ -100,6 +101,8 @@
 pub(super) struct StoreAccess {
     rng: SmallRng,
     is_delayed: bool,
+    /// The number of revisions whose changes the state service keeps.
+    pub(super) history_revisions: u64,
     pub(super) counts: ReadCounts,
     /// Until when each controller's answers are slow.
     slow_until: Vec<Micros>,
@@ -110,6 +113,7 @@
         StoreAccess {
             rng: SmallRng::seed_from_u64(seed ^ SEED_SALT),
             is_delayed: false,
+            history_revisions: HISTORY_REVISIONS[seed as usize % HISTORY_REVISIONS.len()],
             counts: ReadCounts::default(),
             slow_until: vec![Micros::ZERO; controllers],
         }
@@ -260,9 +264,9 @@
     }
 }
 
-/// Reads the changes after a revision.
-pub(super) fn read_changes(store: &Store, from: u64) -> ChangesAnswer {
-    if from + HISTORY_REVISIONS < store.revision {
+/// Reads the changes after a revision, unless it is older than the state service's history.
+pub(super) fn read_changes(store: &Store, from: u64, history_revisions: u64) -> ChangesAnswer {
+    if from + history_revisions < store.revision {
         return ChangesAnswer::RevisionTooOld;
     }
     let change = |(revision, key, value): (u64, &str, Option<Box<RawValue>>)| RecordChange {
--- a/crates/saltpitch-testkit/src/simulation/users.rs
+++ b/crates/saltpitch-testkit/src/simulation/users.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 use saltpitch_core::catalog::Resources;
 use saltpitch_core::job::{JobKind, JobSpec, JobState, Priority};
-use saltpitch_core::records::{job_key, CancelStep, JobRecord, RecordChange};
+use saltpitch_core::records::{job_key, CancelStep, JobRecord, JobWrite};
 use saltpitch_core::scheduler::{Precondition, Transaction, TransactionOutcome, Write};
 use saltpitch_core::Micros;
 
@@ -129,13 +129,13 @@
         let TransactionOutcome::Committed(revision) = outcome else {
             return false;
         };
-        if let Ok(value) = serde_json::value::RawValue::from_string(value) {
-            let change = RecordChange {
-                key,
-                value: Some(value),
+        if let Ok(record) = serde_json::value::RawValue::from_string(value) {
+            let write = JobWrite {
+                id: id.to_owned(),
+                record,
                 revision,
             };
-            self.nodes[node_index].apply_own_write(&change, self.now);
+            self.nodes[node_index].apply_own_write(write, self.now);
         }
         if confirmed {
             self.note_cancelled(id);
--- a/crates/saltpitch-testkit/tests/delayed_reads.rs
+++ b/crates/saltpitch-testkit/tests/delayed_reads.rs
@@ -45,6 +45,7 @@
 fn check_counts(counts: &ReadCounts) {
     assert!(counts.listings_behind > 0, "{counts:?}");
     assert!(counts.reads_behind > 0, "{counts:?}");
+    assert!(counts.reads_too_old > 0, "{counts:?}");
     assert!(counts.refusals > SEEDS, "{counts:?}");
     assert!(counts.answers > 1_000 * SEEDS, "{counts:?}");
     assert_eq!(counts.reads_dropped, 0, "{counts:?}");
--- a/crates/saltpitch/src/cells/delegation.rs
+++ b/crates/saltpitch/src/cells/delegation.rs
@@ -99,7 +99,7 @@
     };
     let outcome = node.store.commit(&transaction, TRANSACTION_TIMEOUT).await;
     if let TransactionOutcome::Committed(revision) = outcome {
-        node.apply_own_write(&key, &value, revision);
+        node.apply_own_write(&write.job, &value, revision);
     }
     outcome
 }
--- a/crates/saltpitch/src/cells/listener.rs
+++ b/crates/saltpitch/src/cells/listener.rs
@@ -151,16 +151,16 @@
         } else {
             HostStatus::Pending
         };
-        let key = job_key(&self.admission.hosted_job_id(sent_id));
+        let id = self.admission.hosted_job_id(sent_id);
         let value = serde_json::to_string(&record).map_err(|_| Unavailable)?;
         if value.len() > self.node.settings.store.max_value_bytes {
             let reason = "the description is too long";
             return Ok(refusal(StatusCode::UNPROCESSABLE_ENTITY, reason));
         }
-        let transaction = conditional_write(&key, &value, 0);
+        let transaction = conditional_write(&job_key(&id), &value, 0);
         match self.node.store.commit(&transaction, CREATE_TIMEOUT).await {
             TransactionOutcome::Committed(revision) => {
-                self.node.apply_own_write(&key, &value, revision);
+                self.node.apply_own_write(&id, &value, revision);
                 tracing::info!("{sent_id} is taken from cell {}", self.admission.cell);
                 Ok(status_response(StatusCode::CREATED, sent_id, status))
             }
--- a/crates/saltpitch/src/record_sync.rs
+++ b/crates/saltpitch/src/record_sync.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use saltpitch_core::records::{JobRead, RecordChange, RecordChanges};
+use saltpitch_core::records::{JobRead, JobWrite, RecordChanges};
 use serde_json::value::RawValue;
 
 pub use self::follower::follow_changes;
@@ -26,18 +26,18 @@
             .unwrap_or(false)
     }
 
-    /// Applies a write of this node to the records in memory without waiting for the watch to return it.
-    pub fn apply_own_write(&self, key: &str, value: &str, revision: u64) {
-        let Ok(value) = RawValue::from_string(value.to_owned()) else {
+    /// Applies this node's write of a job's record to the records in memory without waiting for the watch to return it.
+    pub fn apply_own_write(&self, id: &str, record: &str, revision: u64) {
+        let Ok(record) = RawValue::from_string(record.to_owned()) else {
             return;
         };
-        let change = RecordChange {
-            key: key.to_owned(),
-            value: Some(value),
+        let write = JobWrite {
+            id: id.to_owned(),
+            record,
             revision,
         };
         let (now, wall) = (self.now(), self.clock.wall_time());
-        self.controller().apply_own_write(&change, now, wall);
+        self.controller().apply_own_write(write, now, wall);
         self.scheduler_wakeup.notify_one();
     }
 }
--- a/crates/saltpitch/src/users.rs
+++ b/crates/saltpitch/src/users.rs
@@ -205,7 +205,7 @@
         };
         // Applied before the user is answered: a leader that cannot reach the state service asks this
         // controller for the cancellations that it has confirmed.
-        self.apply_own_write(&key, &value, revision);
+        self.apply_own_write(id, &value, revision);
         if !is_confirmed {
             tracing::info!(
                 "{id} is to be cancelled once the cell that it is delegated to confirms"
