--- a/crates/saltpitch/src/node.rs
+++ b/crates/saltpitch/src/node.rs
@@ -20,6 +20,7 @@
 use crate::job_lookups::JobLookups;
 use crate::mutex::lock;
 use crate::peer_link::PeerClient;
+use crate::record_sync::CopyAge;
 use crate::settings::Settings;
 use crate::store::{Role, StoreClient};
 
@@ -69,6 +70,7 @@
     /// The delegations to other cells, if a cells file is configured.
     pub cells: Option<Cells>,
     controller: Mutex<Controller>,
+    copy_age: Mutex<CopyAge>,
     rng: Mutex<SmallRng>,
 }
 
@@ -136,6 +138,7 @@
             connections: Arc::new(Connections::new(connection_limit)),
             scheduler_wakeup: Notify::new(),
             fresh_reads: FreshReads::default(),
+            copy_age: Mutex::new(CopyAge::new(clock.now())),
             query_permits: Semaphore::new(max_waiting),
             job_lookups: JobLookups::new(max_comparisons),
             lookup_permits: Semaphore::new(max_waiting),
@@ -150,6 +153,11 @@
         ControllerGuard(lock(&self.controller))
     }
 
+    /// Locks the age of the copy of the records.
+    pub fn copy_age(&self) -> MutexGuard<'_, CopyAge> {
+        lock(&self.copy_age)
+    }
+
     /// Returns the monotonic time.
     pub fn now(&self) -> Micros {
         self.clock.now()
--- a/crates/saltpitch/src/record_sync.rs
+++ b/crates/saltpitch/src/record_sync.rs
@@ -1,6 +1,7 @@
 //! Keeps the controller's copy of the records in the state service up to date.
 
 mod follower;
+mod freshness;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use serde_json::value::RawValue;
 
 pub use self::follower::follow_changes;
+pub use self::freshness::CopyAge;
 use crate::node::Node;
 use crate::store::ReadError;
 
@@ -26,6 +28,29 @@
             .unwrap_or(false)
     }
 
+    /// Logs that the records in memory are up to date again, if the log said that they were old.
+    fn log_current_copy(&self, known_revision: u64, revision: u64) {
+        let age = self.copy_age().read_applied(self.now());
+        if let Some(age) = age {
+            tracing::info!(
+                "store: the records in memory are read up to revision {revision} again, after {:.1} s at revision {known_revision}",
+                age.as_secs_f64()
+            );
+        }
+    }
+
+    /// Logs now and then how old the records in memory are while they cannot be read.
+    fn log_old_copy(&self, reason: &ReadError) {
+        let age = self.copy_age().read_failed(self.now());
+        if let Some(age) = age {
+            let revision = self.controller().records().revision();
+            tracing::info!(
+                "store: the records in memory are those of {:.1} s ago, at revision {revision}: {reason}",
+                age.as_secs_f64()
+            );
+        }
+    }
+
     /// Applies this node's write of a job's record to the records in memory without waiting for the watch to return it.
     pub fn apply_own_write(&self, id: &str, record: &str, revision: u64) {
         let Ok(record) = RawValue::from_string(record.to_owned()) else {
@@ -59,8 +84,10 @@
                 let (now, wall) = (node.now(), node.clock.wall_time());
                 let RecordChanges { changes, revision } = changes;
                 controller.apply_job_reads(&reads);
+                let known_revision = controller.records().revision();
                 let job_changed =
                     controller.apply_changes(from_revision, changes, revision, now, wall)?;
+                node.log_current_copy(known_revision, revision);
                 if job_changed && controller.is_leader() {
                     node.scheduler_wakeup.notify_one();
                 }
--- a/crates/saltpitch/src/record_sync/follower.rs
+++ b/crates/saltpitch/src/record_sync/follower.rs
@@ -106,7 +106,8 @@
                 self.list_until_replaced().await;
                 node.pause(POST_LISTING_PAUSE_MS).await;
             }
-            Err(_) => {
+            Err(error) => {
+                node.log_old_copy(&error);
                 // A refused watch counts towards the service's request rate, too.
                 let share_pause_ms = node.store.pace(WATCH_SHARE).as_millis() as u64;
                 node.pause(FAILED_READ_PAUSE_MS.max(share_pause_ms)).await;
