--- a/crates/saltpitch-core/src/records/record_cache/machines.rs
+++ b/crates/saltpitch-core/src/records/record_cache/machines.rs
@@ -29,10 +29,7 @@
         let old = self.machine_blocks.insert(number, block);
         let old_machines = old.iter().flat_map(|old| &old.value.machines);
         for machine in old_machines.filter(|machine| !remaining.contains(&machine.0)) {
-            // The machine may have been moved to another block when this one was split.
-            if !self.is_machine_recorded(&machine.0) {
-                self.machine_gone(&machine.0);
-            }
+            self.machine_left_block(&machine.0);
         }
         Ok(Change::Machines)
     }
@@ -44,7 +41,7 @@
         }
         if let Some(old) = self.machine_blocks.remove(&number) {
             for machine in &old.value.machines {
-                self.machine_gone(&machine.0);
+                self.machine_left_block(&machine.0);
             }
         }
         Change::Machines
@@ -57,6 +54,14 @@
         machines.map(|machine| machine.0.as_str())
     }
 
+    /// Registers a machine that a block no longer has as returned, unless it was moved to another block when that one
+    /// was split.
+    fn machine_left_block(&mut self, name: &str) {
+        if !self.is_machine_recorded(name) {
+            self.machine_gone(name);
+        }
+    }
+
     fn is_machine_recorded(&self, name: &str) -> bool {
         self.machine_names().any(|recorded| recorded == name)
     }
--- a/crates/saltpitch-core/tests/record_copies/main.rs
+++ b/crates/saltpitch-core/tests/record_copies/main.rs
@@ -212,6 +212,30 @@
     assert!(!is_returned(&controller));
 }
 
+/// Guards against a machine that counts as returned because the block that it was moved out of is deleted.
+#[test]
+fn a_machine_that_was_moved_to_another_block_does_not_count_as_returned() {
+    let mut controller = controller(DEFAULT_MAX_ENDED_JOBS);
+    let block = |names: [&str; 2]| {
+        let [first, second] = names.map(|name| format!(r#"["{name}","10.1.0.1:9000",false,5]"#));
+        format!(r#"{{"t":"plain","z":"east","s":true,"m":[{first},{second}]}}"#)
+    };
+    let deleted = RecordChange {
+        key: "salt/b/1".to_owned(),
+        value: None,
+        revision: 4,
+    };
+    let changes = [
+        write("salt/b/1", &block(["vm-000001", "vm-000002"]), 2),
+        write("salt/b/2", &block(["vm-000002", "vm-000003"]), 3),
+        deleted,
+    ];
+    follow(&mut controller, &changes);
+    let returned = &controller.records().returned_machines;
+    assert!(returned.contains("vm-000001"));
+    assert!(!returned.contains("vm-000002"));
+}
+
 /// Guards against the term, the leader and a controller's incarnation of a listing that is older than the copy.
 #[test]
 fn an_older_listing_brings_back_no_earlier_term_or_incarnation() {
