--- a/crates/saltpitch-core/src/controller/mod.rs
+++ b/crates/saltpitch-core/src/controller/mod.rs
@@ -5,9 +5,9 @@
 //! as complete. The async tasks of the program and the simulated site in `saltpitch-testkit` drive the same
 //! code: they transport messages, keep timers and execute effects, but make none of these decisions.
 //!
-//! Submodules: `record_sync` follows the state service, `copy_replacement` takes over listings, `leader_election` acquires, renews and gives up
-//! the leadership, `peer_heartbeats` and `agent_heartbeats` answer peers and agents, and [`notice`] defines
-//! the events for the operators' log.
+//! Submodules: `record_sync` follows the state service, `copy_replacement` takes over listings, `leader_election`
+//! acquires, renews and gives up the leadership, `peer_heartbeats` and `agent_heartbeats` answer peers and agents, and
+//! [`notice`] defines the events for the operators' log.
 
 mod agent_heartbeats;
 mod copy_replacement;
--- a/crates/saltpitch-testkit/src/lib.rs
+++ b/crates/saltpitch-testkit/src/lib.rs
@@ -46,6 +46,13 @@
 //! transactions, requests to the cloud and heartbeats between controllers, milliseconds to minutes later. They are no
 //! field of [`Faults`], since no part may rely on their absence. [`Simulation::late_copies`] counts them.
 //!
+//! # Reads that take time
+//!
+//! A history reads the records at once unless it calls [`Simulation::delay_record_reads`] before its first step. Then
+//! requests and answers are on their way for a drawn time, a watch or listing and a read of the latest changes at once in
+//! one process, the state service refuses controllers, and users ask about the newest jobs.
+//! [`Simulation::read_counts`] says how often an answer was older than the copy: a history without any shows nothing.
+//!
 //! # Adding an invariant
 //!
 //! Add a variant to [`Invariant`](invariants::Invariant) and a check to `invariants.rs`, or to `cells/history.rs` if
--- a/crates/saltpitch-testkit/src/simulation/observe.rs
+++ b/crates/saltpitch-testkit/src/simulation/observe.rs
@@ -27,12 +27,8 @@
     pub(super) fn query_jobs(&mut self) {
         self.note_health();
         let now = self.now;
-        let reads_at_once = !self.are_reads_delayed();
-        for node in self.nodes.iter_mut().filter(|_| reads_at_once) {
-            let is_running = node.is_up(now) && node.remaining_pause(now) == Micros::ZERO;
-            if node.is_started && node.can_reach_store(&self.store, now) && is_running {
-                node.read_records(&self.store, now);
-            }
+        if !self.are_reads_delayed() {
+            self.read_all_copies();
         }
         let knows = |node: &Node, id: &str| {
             node.is_up(now)
@@ -55,6 +51,17 @@
         self.note_started();
     }
 
+    /// Lets every controller that reaches the store read the records.
+    fn read_all_copies(&mut self) {
+        let now = self.now;
+        for node in &mut self.nodes {
+            let is_running = node.is_up(now) && node.remaining_pause(now) == Micros::ZERO;
+            if node.is_started && node.can_reach_store(&self.store, now) && is_running {
+                node.read_records(&self.store, now);
+            }
+        }
+    }
+
     /// Notes the last time at which the site had a fault or one could be drawn.
     fn note_health(&mut self) {
         let now = self.now;
